--- a/examples/host.cpp
+++ b/examples/host.cpp
@@ -1,10 +1,10 @@
 // The smallest host: one request arrives, runs and ends.
-#include <limegap/policy.h>
+#include <granitegap/policy.h>
 
 #include <cstdio>
 
 int main() {
-  using namespace limegap;
+  using namespace granitegap;
   Settings settings;
   settings.cores = 2;
   settings.memory_kb = 100000;
--- a/include/limegap/policy.h
+++ b/include/granitegap/policy.h
@@ -1,4 +1,4 @@
-// The interface of limegap: the settings, events and actions of one server instance.
+// The interface of granitegap: the settings, events and actions of one server instance.
 //
 // Contract
 //  - Threads: one controller belongs to one instance; calls must not overlap. It starts no thread, reads no
@@ -22,7 +22,7 @@
 #include <variant>
 #include <vector>
 
-namespace limegap {
+namespace granitegap {
 
 using Duration = std::chrono::microseconds;
 struct HostClock {  // never read: it only gives TimePoint a type of its own
@@ -183,4 +183,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/adapter.cpp
+++ b/src/adapter.cpp
@@ -7,7 +7,7 @@
 
 #include "settings.h"
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 constexpr std::size_t kReadChunk = std::size_t(1) << 20;
@@ -100,10 +100,10 @@
       out.flush();
     }
   } catch (const wire::Malformed& problem) {
-    err << "limegap_drill: " << problem.what() << '\n';
+    err << "granitegap_drill: " << problem.what() << '\n';
     return 2;
   }
   return 0;
 }
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "limegap/policy.h"
+#include "granitegap/policy.h"
 #include "wire.h"
 
-namespace limegap {
+namespace granitegap {
 
 class Adapter {
  public:
@@ -27,4 +27,4 @@
 // Serves frames until the input ends; returns the exit status.
 int serve(std::istream& in, std::ostream& out, std::ostream& err);
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,4 +1,4 @@
-// The decisions of limegap. Interface: include/limegap/policy.h. Design and exceptions: docs/design.md.
+// The decisions of granitegap. Interface: include/granitegap/policy.h. Design and exceptions: docs/design.md.
 //
 // Reads as the design does: tuned values, what is known of a request, then one function a concern:
 // the pool and its update, arrivals and refusals, the order of the hold and the run limit, calls below,
@@ -10,9 +10,9 @@
 #include <random>
 #include <utility>
 
-#include "limegap/policy.h"
+#include "granitegap/policy.h"
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 using std::chrono::milliseconds;
@@ -766,4 +766,4 @@
   return impl_->handle(now, events);
 }
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/drill.cpp
+++ b/src/drill.cpp
@@ -4,5 +4,5 @@
 
 int main() {
   std::ios::sync_with_stdio(false);
-  return limegap::serve(std::cin, std::cout, std::cerr);
+  return granitegap::serve(std::cin, std::cout, std::cerr);
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 #include <map>
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 using Pairs = std::map<std::string, std::string, std::less<>>;
@@ -186,4 +186,4 @@
   return parsed;
 }
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/settings.h
+++ b/src/settings.h
@@ -4,9 +4,9 @@
 #include <string_view>
 #include <vector>
 
-#include "limegap/policy.h"
+#include "granitegap/policy.h"
 
-namespace limegap {
+namespace granitegap {
 
 struct ParsedSettings {
   Settings settings;
@@ -14,4 +14,4 @@
 };
 ParsedSettings parse_settings(std::string_view text);
 
-}  // namespace limegap
+}  // namespace granitegap
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -6,7 +6,7 @@
 #include <cstring>
 #include <type_traits>
 
-namespace limegap::wire {
+namespace granitegap::wire {
 namespace {
 
 static_assert(std::endian::native == std::endian::little, "fields are copied as they lie");
@@ -287,4 +287,4 @@
   return out + body_;
 }
 
-}  // namespace limegap::wire
+}  // namespace granitegap::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -7,9 +7,9 @@
 #include <variant>
 #include <vector>
 
-#include "limegap/policy.h"
+#include "granitegap/policy.h"
 
-namespace limegap::wire {
+namespace granitegap::wire {
 
 struct PowerOn {
   std::uint64_t seed = 0;
@@ -54,4 +54,4 @@
   std::string body_;
 };
 
-}  // namespace limegap::wire
+}  // namespace granitegap::wire
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -9,9 +9,9 @@
 #include <set>
 #include <string>
 
-#include "limegap/policy.h"
+#include "granitegap/policy.h"
 
-namespace limegap::testing {
+namespace granitegap::testing {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -397,4 +397,4 @@
   return s;
 }
 
-}  // namespace limegap::testing
+}  // namespace granitegap::testing
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -6,7 +6,7 @@
 
 #include "fake_host.h"
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 using std::chrono::milliseconds;
@@ -107,7 +107,7 @@
   Instance i(roomy());
   std::vector<Event> events;
   for (std::uint32_t k = 0; k < 5; ++k) events.push_back(request(k + 1));
-  EXPECT_EQ(count<limegap::Run>(i.at(milliseconds(1), events)), 2);
+  EXPECT_EQ(count<granitegap::Run>(i.at(milliseconds(1), events)), 2);
   EXPECT_EQ(count<Refuse>(i.all), 0);
 }
 TEST(Arrivals, AreRefusedWhenTheyClearlyCannotBeServedInTime) {
@@ -142,7 +142,7 @@
   std::vector<Event> events;
   for (std::uint32_t k = 0; k < 12; ++k) events.push_back(request(k + 1));
   const auto out = i.at(milliseconds(1), events);
-  EXPECT_EQ(count<limegap::Run>(out), 1);  // what is held leaves room for a run
+  EXPECT_EQ(count<granitegap::Run>(out), 1);  // what is held leaves room for a run
   EXPECT_GE(count<Refuse>(out), 9);
 }
 TEST(Arrivals, OfAnUnknownClassAreRefusedAndDuplicateIdsIgnored) {
@@ -150,7 +150,7 @@
   EXPECT_EQ(count<Refuse>(i.at(milliseconds(1), {request(1, 77)})), 1);
   i.at(milliseconds(2), {request(2)});
   const auto out = i.at(milliseconds(3), {request(2)});
-  EXPECT_EQ(count<limegap::Run>(out) + count<Refuse>(out) + count<Fail>(out), 0);
+  EXPECT_EQ(count<granitegap::Run>(out) + count<Refuse>(out) + count<Fail>(out), 0);
 }
 TEST(Shares, CallsInAnInnerTierAndRefusedTriesUseNone) {
   auto s = roomy();
@@ -177,7 +177,7 @@
   Instance i(s);
   std::vector<Event> events;
   for (std::uint32_t k = 0; k < 9; ++k) events.push_back(request(k + 1));
-  EXPECT_LE(count<limegap::Run>(i.at(milliseconds(1), events)), 3);  // 4 cores x 1.1 is the crowd
+  EXPECT_LE(count<granitegap::Run>(i.at(milliseconds(1), events)), 3);  // 4 cores x 1.1 is the crowd
 }
 TEST(Answers, EveryReadHasATimerAndIsAnsweredWhenItFires) {
   Instance i(roomy());
@@ -211,7 +211,7 @@
   const auto out = i.at(milliseconds(1), {request(1), request(2), request(3, 1, milliseconds(300))});
   ASSERT_EQ(count<Remember>(out), 1);
   EXPECT_GE(Instance::only<Remember>(out)[0].keep_for, Duration(milliseconds(6000)));
-  ASSERT_EQ(count<limegap::Run>(out), 2);
+  ASSERT_EQ(count<granitegap::Run>(out), 2);
   const auto ends =
       i.at(milliseconds(301), {TimerFired{Instance::only<SetTimer>(out)[2].token, {}, {}, {}, {}}});
   EXPECT_EQ(count<Refuse>(ends), 1);  // it never ran, so it may be refused
@@ -226,15 +226,15 @@
   i.at(milliseconds(3100), {RunEnded{RequestId(2), RunResult::ok, milliseconds(100)}});
   const auto out = i.at(seconds(11), {request(3, 1)});  // the host names no earlier try any more
   EXPECT_EQ(count<Remember>(out), 1);
-  EXPECT_EQ(count<limegap::Run>(out), 1);
+  EXPECT_EQ(count<granitegap::Run>(out), 1);
 }
 TEST(Callers, ThatLeaveFreeTheirWork) {
   Instance i(roomy());
   i.at(milliseconds(1), {request(1), request(2), request(3)});
-  EXPECT_EQ(count<limegap::Run>(i.at(milliseconds(5), {CallerGone{RequestId(3)}})), 0);
+  EXPECT_EQ(count<granitegap::Run>(i.at(milliseconds(5), {CallerGone{RequestId(3)}})), 0);
   EXPECT_EQ(count<Suspend>(i.at(milliseconds(9), {CallerGone{RequestId(1)}})), 1);
   const auto out = i.at(milliseconds(10), {RunEnded{RequestId(1), RunResult::cancelled, {}}, request(4)});
-  EXPECT_EQ(count<limegap::Run>(out), 1);
+  EXPECT_EQ(count<granitegap::Run>(out), 1);
 }
 TEST(Keys, RepeatsAreReusedWhileHeldRunningAndDone) {
   Instance i(roomy());
@@ -243,7 +243,7 @@
   i.at(milliseconds(100), {RunEnded{RequestId(1), RunResult::ok, milliseconds(99)}});
   const auto out = i.at(milliseconds(200), {repeat(3, 1)});
   EXPECT_EQ(count<Reuse>(out), 1);
-  EXPECT_EQ(count<limegap::Run>(out), 0);
+  EXPECT_EQ(count<granitegap::Run>(out), 0);
 }
 TEST(Calls, ARunKeyedRequestIsFailedNotRefusedAndItsCallNotRepeated) {
   Instance i(roomy());
@@ -268,10 +268,10 @@
   auto out = i.at(seconds(1), {DrainNotice{seconds(6)}});
   ASSERT_EQ(count<SetHealth>(out), 1);
   EXPECT_FALSE(Instance::only<SetHealth>(out)[0].good);
-  EXPECT_EQ(count<limegap::Run>(i.at(milliseconds(1900), {request(1)})), 1);
+  EXPECT_EQ(count<granitegap::Run>(i.at(milliseconds(1900), {request(1)})), 1);
   auto late_read = request(2);
   late_read.waited_unread = milliseconds(400);
-  EXPECT_EQ(count<limegap::Run>(i.at(milliseconds(2300), {late_read})), 1);
+  EXPECT_EQ(count<granitegap::Run>(i.at(milliseconds(2300), {late_read})), 1);
   EXPECT_EQ(count<Refuse>(i.at(milliseconds(2301), {request(3)})), 1);
   EXPECT_EQ(count<Refuse>(i.at(milliseconds(6950), {repeat(4, 1)})), 1);
 }
@@ -369,7 +369,7 @@
     i.at(at, {TimerFired{TimerToken{0}, 1.0, {}, {}, {}}});
     const auto out = i.at(at + milliseconds(1), {r});
     if (k > 200) refused[k % 2] += count<Refuse>(out);
-    for (const auto& run : Instance::only<limegap::Run>(out))
+    for (const auto& run : Instance::only<granitegap::Run>(out))
       i.at(at + milliseconds(2), {RunEnded{run.id, RunResult::ok, milliseconds(1)}});
   }
   EXPECT_GT(refused[0], 80);
@@ -384,7 +384,7 @@
     auto r = request(++id, 0, seconds(3));
     r.waited_unread = milliseconds(900);  // a pause, not load
     i.at(at, {TimerFired{TimerToken{0}, 0.3, {}, {}, {}}});
-    for (const auto& run : Instance::only<limegap::Run>(i.at(at + milliseconds(1), {r})))
+    for (const auto& run : Instance::only<granitegap::Run>(i.at(at + milliseconds(1), {r})))
       i.at(at + milliseconds(2), {RunEnded{run.id, RunResult::ok, milliseconds(1)}});
   }
   EXPECT_EQ(count<Refuse>(i.all), 0);
@@ -420,7 +420,7 @@
     Instance i(s);
     std::vector<Event> events;
     for (std::uint32_t k = 0; k < 9; ++k) events.push_back(request(k + 1));
-    EXPECT_EQ(count<limegap::Run>(i.at(milliseconds(1), events)), 2) << v;
+    EXPECT_EQ(count<granitegap::Run>(i.at(milliseconds(1), events)), 2) << v;
     i.at(milliseconds(2), {CallNeeded{RequestId(1)}});
     i.at(milliseconds(20), {TimerFired{TimerToken{0}, v, v, v, v}});
     EXPECT_TRUE(std::isfinite(i.credit) && i.credit >= 0) << v;
@@ -444,4 +444,4 @@
 }
 
 }  // namespace
-}  // namespace limegap
+}  // namespace granitegap
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -3,7 +3,7 @@
 
 #include "fake_host.h"
 
-namespace limegap::testing {
+namespace granitegap::testing {
 namespace {
 
 std::string listed(const std::set<std::string>& items) {
@@ -98,4 +98,4 @@
 }
 
 }  // namespace
-}  // namespace limegap::testing
+}  // namespace granitegap::testing
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 TEST(Settings, ReadsScalarsListsAndWords) {
@@ -38,4 +38,4 @@
 }
 
 }  // namespace
-}  // namespace limegap
+}  // namespace granitegap
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -8,7 +8,7 @@
 
 #include "adapter.h"
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 std::string hex(std::string_view text) {
@@ -42,9 +42,9 @@
 }
 
 }  // namespace
-}  // namespace limegap
+}  // namespace granitegap
 
-namespace limegap {
+namespace granitegap {
 namespace {
 
 struct Served {
@@ -98,7 +98,7 @@
 }
 TEST(Wire, ActionsAreWrittenAsThePageShowsThem) {
   wire::Reply reply(12);
-  reply.add(3, limegap::Run{RequestId(0x5d3a91c4)});
+  reply.add(3, granitegap::Run{RequestId(0x5d3a91c4)});
   reply.add(3, SetTimer{TimerToken(0x4d), std::chrono::milliseconds(500)});
   reply.add(5, Log{"two servers known"});
   EXPECT_EQ(reply.finish(), hex("0c000000 03000000 38000000 01 06000000 0300 c4913a5d"
@@ -129,7 +129,7 @@
     const auto out = fed(bytes);
     EXPECT_NE(out.status, 0);
     EXPECT_EQ(out.out, "");
-    EXPECT_EQ(out.err.rfind("limegap_drill: batch 7, offset ", 0), 0U) << out.err;
+    EXPECT_EQ(out.err.rfind("granitegap_drill: batch 7, offset ", 0), 0U) << out.err;
     EXPECT_EQ(std::count(out.err.begin(), out.err.end(), '\n'), 1);
   }
 }
@@ -148,4 +148,4 @@
 }
 
 }  // namespace
-}  // namespace limegap
+}  // namespace granitegap
