Serve real sockets: frames, kernel link, announce and the edge round the module

Seen: the module had no program. Added one thread on Boost.Asio awaitables with an actor for each peer, the kernel link, the announce service and the module; the edge and the codecs hold no socket or clock. The simulator's adapter is unchanged but for with_gauges(), now shared from settings.cpp. GCC 12 warns falsely (-Wrestrict) on literal + string; those texts are built by append.

--- a/src/adapter.cpp
+++ b/src/adapter.cpp
@@ -1,7 +1,6 @@
 #include "adapter.h"
 
 #include <algorithm>
-#include <cmath>
 #include <istream>
 #include <ostream>
 
@@ -12,20 +11,6 @@
 
 constexpr std::size_t kReadChunk = std::size_t(1) << 20;
 
-TimerFired with_gauges(const wire::Gauged& timer, const std::vector<std::string>& names) {
-  TimerFired fired;
-  fired.token = timer.token;
-  for (std::size_t i = 0; i < std::min(names.size(), timer.gauges.size()); ++i) {
-    const double value = timer.gauges[i];
-    if (!std::isfinite(value) || value < 0) continue;
-    if (names[i] == "core_use") fired.core_use = value;
-    if (names[i] == "on_cores") fired.on_cores = value;
-    if (names[i] == "heap_share") fired.memory_share = value;
-    if (names[i] == "links") fired.connections = value;
-  }
-  return fired;
-}
-
 // Reads no more than has arrived, so that a false length costs no memory.
 bool read_exactly(std::istream& in, std::size_t size, std::string& to) {
   to.clear();
@@ -73,7 +58,7 @@
     if (it == instances_.end()) continue;
     if (it->second.pending.empty()) touched.push_back(record.instance);
     if (const auto* timer = std::get_if<wire::Gauged>(&record.body))
-      it->second.pending.emplace_back(with_gauges(*timer, it->second.gauges));
+      it->second.pending.emplace_back(with_gauges(timer->token, timer->gauges, it->second.gauges));
     else
       it->second.pending.push_back(std::get<Event>(record.body));
   }
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,39 @@
+// What the platform tells a tile server: EDGE_CONFIG, its settings and its limits.
+#pragma once
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "edge/types.h"
+#include "settings.h"
+
+namespace granitegap::config {
+
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+};
+struct Limits {
+  double cores = 1;
+  std::size_t memory_mb = 192;
+  std::size_t sockets = 1024;
+};
+struct Config {
+  std::string name;
+  Endpoint listen, kernel, announce;
+  std::uint64_t seed = 0;
+  std::chrono::milliseconds stop{};  // from the notice to leave to the kill
+  Limits limits;
+  ParsedSettings parsed;
+  edge::Catalog catalog;
+};
+struct Problem {
+  std::string what;  // one line
+};
+
+std::variant<Config, Problem> parse(std::string_view json);
+std::variant<Config, Problem> load(const std::string& path);
+
+}  // namespace granitegap::config
--- /dev/null
+++ b/src/edge/edge.cpp
@@ -0,0 +1,317 @@
+#include "edge/edge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace granitegap::edge {
+namespace {
+
+constexpr Duration kGaugesLast = std::chrono::milliseconds(500);  // older ones say nothing of now
+constexpr Duration kSweepEvery = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxDeepChecks = 64;
+
+std::vector<KeyTable::Rules> key_rules(const Settings& settings) {
+  std::vector<KeyTable::Rules> rules;
+  for (const auto& c : settings.classes)
+    rules.push_back(
+        {c.repeat_window.value_or(std::chrono::seconds(60)), c.deadline.value_or(std::chrono::seconds(5))});
+  return rules;
+}
+
+}  // namespace
+
+Edge::Edge(ParsedSettings settings, Catalog catalog, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      catalog_(std::move(catalog)),
+      seed_(seed),
+      keys_(key_rules(settings_.settings)) {}
+
+std::vector<Output> Edge::step(Now now, std::vector<Input> inputs) {
+  now_ = now;
+  ++batch_;
+  out_.clear();
+  for (auto& input : inputs) std::visit([&](auto& i) { on(std::move(i)); }, input);
+  fire_timers();
+  // Applying actions may end further requests (a repeat whose result is at hand): another round tells the
+  // module, until nothing is left to tell.
+  while (module_ && !events_.empty()) {
+    const auto events = std::exchange(events_, {});
+    for (const auto& action : module_->handle(now_.steady, events))
+      std::visit([&](const auto& a) { apply(a); }, action);
+  }
+  if (now_.steady - swept_at_ >= kSweepEvery) {
+    keys_.sweep(now_.unix);
+    swept_at_ = now_.steady;
+  }
+  return std::move(out_);
+}
+
+std::optional<TimePoint> Edge::next_timer() const {
+  if (timers_.empty()) return std::nullopt;
+  return timers_.top().at;
+}
+
+// ---- What comes in ----
+
+void Edge::on(Request request) {
+  // A number names one try: a second one under it could not be told apart in the kernel's reports.
+  if (!module_ || by_rid_.count(request.rid)) return turn_away(request.from);
+  const RequestId id{next_id_++};
+  RequestArrived arrived;
+  arrived.id = id;
+  arrived.cls = request.cls;
+  arrived.tenant = request.tenant;
+  arrived.caller = request.caller;
+  arrived.key = request.read;
+  arrived.cost_hint = request.cost_hint;
+  arrived.memory = request.memory;
+  // Its stamp is of another clock than the module's: only the span carries over, and never a negative one.
+  arrived.waited_unread = std::max(now_.unix - request.reached, Duration{});
+  arrived.repeats = keys_.arrive(request, id, batch_);
+  by_rid_.emplace(request.rid, id);
+  open_.emplace(id, Open{std::move(request), now_.steady, Work::held, false, false, arrived.repeats, {}});
+  ++unanswered_;
+  events_.emplace_back(arrived);
+}
+
+void Edge::on(const HealthCheck& check) {
+  const bool deep = check.full && settings_.settings.deep_checks.value_or(false) && !from_store_;
+  if (!module_ || !deep || deep_checks_.size() >= kMaxDeepChecks) {
+    out_.emplace_back(HealthAnswer{check.from, good_, hint_});
+    return;
+  }
+  deep_checks_[next_check_] = check.from;
+  command(DeepCheck{next_check_++});
+}
+
+void Edge::on(const DeepCheckDone& done) {
+  const auto node = deep_checks_.extract(done.tag);
+  if (node) out_.emplace_back(HealthAnswer{node.mapped(), done.good && good_, hint_});
+}
+
+// Guards against work for a connection that can't carry its answer. What runs goes on under the module's
+// hand and its end is reported like any other.
+void Edge::on(const PeerGone& gone) {
+  std::vector<RequestId> theirs;
+  for (const auto& [id, o] : open_)
+    if (o.request.from.peer == gone.peer && !o.answered) theirs.push_back(id);
+  for (const auto id : theirs) {
+    auto& o = open_.at(id);
+    o.answered = true;
+    --unanswered_;
+    events_.emplace_back(CallerGone{id});
+    if (o.work != Work::running) end(id, KeyTable::RunState::bad, nullptr);
+  }
+  std::erase_if(deep_checks_, [&](const auto& c) { return c.second.peer == gone.peer; });
+}
+
+void Edge::on(const Drain& drain) {
+  if (drain_from_) return;
+  drain_from_ = now_.unix;
+  good_ = false;
+  report_health();
+  if (module_) events_.emplace_back(DrainNotice{drain.until_stopped});
+}
+
+// The kernel's start is the module's: it may come long after this process's, and how warm the cores are
+// counts from it. Later links only repeat the news.
+void Edge::on(const Booted& booted) {
+  if (module_) return;
+  settings_.settings.cold = booted.cold;
+  const auto born = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
+  module_.emplace(settings_.settings, seed_, born);
+  for (const auto& action : module_->start()) std::visit([&](const auto& a) { apply(a); }, action);
+  report_health();
+}
+
+void Edge::on(RunReport report) {
+  const auto it = by_rid_.find(report.rid);
+  if (it == by_rid_.end()) return;
+  const auto id = it->second;
+  auto& o = open_.at(id);
+  if (o.work != Work::running) return;
+  switch (report.end) {
+    case RunEnd::ok:
+      return finish_run(id, RunResult::ok, report.took,
+                        std::make_shared<const std::string>(std::move(report.result)));
+    case RunEnd::error:
+      return finish_run(id, RunResult::error, report.took, nullptr);
+    case RunEnd::moot:
+      return finish_run(id, RunResult::moot, report.took, nullptr);
+    case RunEnd::stopped:
+      break;
+  }
+  events_.emplace_back(RunEnded{id, RunResult::cancelled, report.took});
+  if (o.answered) return end(id, KeyTable::RunState::bad, nullptr);
+  o.work = settings_.settings.suspend == SuspendKind::pause ? Work::paused : Work::held;
+}
+
+// A command the kernel would not carry out must not strand its request: the run is over, with an error.
+void Edge::on(const CommandRejected& rejected) {
+  remark("kernel rejected a command for request " + rejected.rid);
+  const auto it = by_rid_.find(rejected.rid);
+  if (it == by_rid_.end() || rejected.kind == CommandKind::stop) return;
+  if (open_.at(it->second).work == Work::running) finish_run(it->second, RunResult::error, {}, nullptr);
+}
+
+void Edge::on(const Gauges& gauges) {
+  gauges_ = gauges.values;
+  gauges_at_ = now_.steady;
+}
+
+// Timers never wait for gauges: the newest at hand go with them, or none.
+void Edge::fire_timers() {
+  bool fired = false;
+  while (!timers_.empty() && timers_.top().at <= now_.steady) {
+    const auto token = timers_.top().token;
+    timers_.pop();
+    const bool fresh = !gauges_.empty() && now_.steady - gauges_at_ <= kGaugesLast;
+    events_.emplace_back(with_gauges(
+        token, fresh ? std::span<const float>(gauges_) : std::span<const float>{}, settings_.gauges));
+    fired = true;
+  }
+  if (fired) command(AskGauges{});
+}
+
+// ---- What the module decides ----
+
+void Edge::apply(const Run& a) {
+  auto* o = find(a.id);
+  if (!o) {
+    events_.emplace_back(RunEnded{a.id, RunResult::moot, {}});
+    return;
+  }
+  if (o->work == Work::paused) {
+    o->work = Work::running;
+    o->since = now_.steady;
+    return command(ResumeRun{o->request.rid});
+  }
+  if (o->work != Work::held) return;
+  // The last guard of two rules, whatever the module says. No try of a request runs again within the window
+  // of the one that ran; and nothing runs that reached the machine too long after the notice to leave.
+  const auto grace = settings_.settings.drain_grace.value_or(Duration{});
+  const bool too_late = drain_from_ && o->request.reached > *drain_from_ + grace;
+  const auto* run = keys_.covering_run(o->request);
+  if (run || too_late) {
+    events_.emplace_back(RunEnded{a.id, RunResult::moot, {}});
+    if (run && run->state == KeyTable::RunState::good)
+      answer(*o, Outcome::served, run->result);
+    else
+      answer(*o, run ? Outcome::failed : Outcome::refused);
+    return end(a.id, KeyTable::RunState::bad, nullptr);
+  }
+  o->work = Work::running;
+  o->ran = true;
+  o->since = now_.steady;
+  keys_.started(o->request, a.id);
+  command(StartRun{o->request.rid, o->request.cls, o->request.body});
+}
+
+void Edge::apply(const Refuse& a) {
+  auto* o = find(a.id);
+  if (!o) return;
+  // 'Refused' promises that this try never ran.
+  answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr, a.keep_off, a.do_not_try_elsewhere);
+  if (o->work != Work::running) end(a.id, KeyTable::RunState::bad, nullptr);
+}
+
+void Edge::apply(const Fail& a) {
+  auto* o = find(a.id);
+  if (!o) return;
+  answer(*o, Outcome::failed);
+  if (o->work != Work::running) end(a.id, KeyTable::RunState::bad, nullptr);
+}
+
+void Edge::apply(const Suspend& a) {
+  if (const auto* o = find(a.id); o && o->work == Work::running) command(StopRun{o->request.rid});
+}
+
+void Edge::apply(const Remember& a) {
+  if (const auto* o = find(a.id)) keys_.keep(o->request, a.id, now_.unix + a.keep_for);
+}
+
+void Edge::apply(const Forget& a) {
+  if (const auto* o = find(a.id)) keys_.forget(o->request, a.id);
+}
+
+void Edge::apply(const Reuse& a) {
+  auto* o = find(a.id);
+  if (!o || o->work != Work::held) return;
+  keys_.leave_hold(o->request, a.id);
+  o->work = Work::reusing;
+  o->since = now_.steady;
+  if (const auto* run = keys_.any_run(o->request)) {
+    if (run->state != KeyTable::RunState::going) return settle_follower(a.id, run->state, run->result);
+    open_.at(run->by).followers.push_back(a.id);
+    return;
+  }
+  auto* original = o->repeats ? find(*o->repeats) : nullptr;
+  if (!original || original->work != Work::held)
+    return settle_follower(a.id, KeyTable::RunState::bad, nullptr);
+  original->followers.push_back(a.id);
+}
+
+void Edge::apply(const SetHealth& a) {
+  from_store_ = a.from_store;
+  const bool good = a.good && !drain_from_;
+  if (std::exchange(good_, good) != good) report_health();
+}
+
+void Edge::apply(const AdvertiseCredit& a) { hint_ = std::max(a.credit, 0.0); }
+void Edge::apply(const CloseIdle& a) { out_.emplace_back(CloseIdlePeers{a.idle_for}); }
+void Edge::apply(const SetTimer& a) {
+  timers_.push({now_.steady + std::max(a.after, Duration(1)), timer_order_++, a.token});
+}
+void Edge::apply(const Log& a) { remark("module: " + a.text); }
+// The kernel's protocol has no calls below it.
+void Edge::apply(const Call& a) { apply(Fail{a.id}); }
+void Edge::apply(const SkipCall& a) { apply(Fail{a.id}); }
+
+// ---- Ends ----
+
+Edge::Open* Edge::find(RequestId id) {
+  const auto it = open_.find(id);
+  return it == open_.end() ? nullptr : &it->second;
+}
+
+void Edge::answer(Open& o, Outcome outcome, Result result, Duration backoff, bool last) {
+  if (std::exchange(o.answered, true)) return;
+  --unanswered_;
+  out_.emplace_back(Answer{o.request.from, outcome, std::move(result), hint_, backoff, last});
+}
+
+void Edge::turn_away(const Origin& to) {
+  out_.emplace_back(Answer{to, Outcome::refused, nullptr, hint_, {}, false});
+}
+
+void Edge::finish_run(RequestId id, RunResult how, Duration took, Result result) {
+  auto& o = open_.at(id);
+  events_.emplace_back(RunEnded{id, how, took});
+  answer(o, how == RunResult::ok ? Outcome::served : Outcome::failed, result);
+  end(id, how == RunResult::ok ? KeyTable::RunState::good : KeyTable::RunState::bad, std::move(result));
+}
+
+void Edge::settle_follower(RequestId id, KeyTable::RunState state, const Result& result) {
+  auto* o = find(id);
+  if (!o) return;
+  const bool good = state == KeyTable::RunState::good;
+  events_.emplace_back(RunEnded{id, good ? RunResult::ok : RunResult::error, now_.steady - o->since});
+  answer(*o, good ? Outcome::served : Outcome::failed, result);
+  end(id, state, nullptr);
+}
+
+void Edge::end(RequestId id, KeyTable::RunState state, Result result) {
+  auto node = open_.extract(id);
+  auto& o = node.mapped();
+  by_rid_.erase(o.request.rid);
+  keys_.ended(o.request, id, state, result);
+  keys_.leave_hold(o.request, id);
+  if (!o.ran) keys_.forget(o.request, id);
+  for (const auto follower : o.followers) settle_follower(follower, state, result);
+}
+
+void Edge::report_health() {
+  if (module_ || drain_from_) out_.emplace_back(Report{good_ && !drain_from_});
+}
+
+}  // namespace granitegap::edge
--- /dev/null
+++ b/src/edge/edge.h
@@ -0,0 +1,111 @@
+// The protocol-neutral tile server: open requests, keys, timers, health and drain round the decision module.
+// It reads no clock and does no I/O; a front end hands in Requests and receives Answers.
+//
+// Each request has one owner, its entry here, and one state. It leaves when its work is over and its answer
+// given; an answer is made in one place only, and only once.
+#pragma once
+#include <map>
+#include <optional>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "edge/keys.h"
+#include "edge/types.h"
+#include "granitegap/policy.h"
+#include "settings.h"
+
+namespace granitegap::edge {
+
+class Edge {
+ public:
+  Edge(ParsedSettings settings, Catalog catalog, std::uint64_t seed);
+
+  // All that came since the last step, in order; what is to be done now, in order.
+  std::vector<Output> step(Now now, std::vector<Input> inputs);
+  std::optional<TimePoint> next_timer() const;
+  // Nothing is owed: no request here waits for its answer.
+  bool owes_nothing() const { return unanswered_ == 0; }
+  std::size_t open_requests() const { return open_.size(); }
+
+ private:
+  enum class Work : std::uint8_t { held, running, paused, reusing };
+  struct Open {
+    Request request;
+    TimePoint since;
+    Work work = Work::held;
+    bool ran = false, answered = false;
+    std::optional<RequestId> repeats;
+    std::vector<RequestId> followers;  // repeats that wait for this one's result
+  };
+  struct Timer {
+    TimePoint at;
+    std::uint64_t order;
+    TimerToken token;
+    bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+
+  void on(Request request);
+  void on(const HealthCheck& check);
+  void on(const PeerGone& gone);
+  void on(const Drain& drain);
+  void on(const Booted& booted);
+  void on(RunReport report);
+  void on(const CommandRejected& rejected);
+  void on(const Gauges& gauges);
+  void on(const DeepCheckDone& done);
+  void fire_timers();
+
+  void apply(const Run& a);
+  void apply(const Refuse& a);
+  void apply(const Fail& a);
+  void apply(const Suspend& a);
+  void apply(const Remember& a);
+  void apply(const Forget& a);
+  void apply(const Reuse& a);
+  void apply(const SetHealth& a);
+  void apply(const AdvertiseCredit& a);
+  void apply(const CloseIdle& a);
+  void apply(const SetTimer& a);
+  void apply(const Log& a);
+  void apply(const Call& a);
+  void apply(const SkipCall& a);
+
+  Open* find(RequestId id);
+  void answer(Open& o, Outcome outcome, Result result = nullptr, Duration backoff = {}, bool last = false);
+  void turn_away(const Origin& to);
+  void end(RequestId id, KeyTable::RunState state, Result result);
+  void settle_follower(RequestId id, KeyTable::RunState state, const Result& result);
+  void finish_run(RequestId id, RunResult how, Duration took, Result result);
+  void report_health();
+  void remark(std::string text) { out_.emplace_back(Remark{std::move(text)}); }
+  template <class C>
+  void command(C c) {
+    out_.emplace_back(Command(std::move(c)));
+  }
+
+  ParsedSettings settings_;
+  Catalog catalog_;
+  std::uint64_t seed_;
+  std::optional<AdmissionController> module_;
+  Now now_{};
+  std::vector<Event> events_;
+  std::vector<Output> out_;
+  std::map<RequestId, Open> open_;
+  std::unordered_map<std::string, RequestId> by_rid_;
+  KeyTable keys_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::map<std::uint64_t, Origin> deep_checks_;
+  std::vector<float> gauges_;
+  TimePoint gauges_at_, swept_at_;
+  std::optional<double> hint_;
+  std::optional<UnixTime> drain_from_;
+  std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
+  std::uint32_t next_id_ = 1;
+  std::size_t unanswered_ = 0;
+  bool from_store_ = false, good_ = true;
+};
+
+}  // namespace granitegap::edge
--- /dev/null
+++ b/src/edge/keys.cpp
@@ -0,0 +1,93 @@
+#include "edge/keys.h"
+
+#include <algorithm>
+
+namespace granitegap::edge {
+namespace {
+
+// A try is stamped in whole milliseconds and its window is judged 50 ms wider; the rest is for the time
+// between its writing and its reading here. Guards against running what was written inside the window.
+constexpr Duration kWindowMargin = std::chrono::seconds(1);
+
+}  // namespace
+
+KeyTable::Key* KeyTable::find(const Request& request) {
+  const auto it = keys_.find({request.cls, request.token});
+  return it == keys_.end() ? nullptr : &it->second;
+}
+const KeyTable::Key* KeyTable::find(const Request& request) const {
+  const auto it = keys_.find({request.cls, request.token});
+  return it == keys_.end() ? nullptr : &it->second;
+}
+
+std::optional<RequestId> KeyTable::arrive(const Request& request, RequestId id, std::uint64_t batch) {
+  if (request.token.empty()) return std::nullopt;
+  auto& key = keys_[{request.cls, request.token}];
+  std::optional<RequestId> same;
+  if (key.entry && request.reached <= key.entry->until) {
+    const auto holder = key.entry->holder;
+    const bool held = std::any_of(key.held.begin(), key.held.end(), [&](auto& h) { return h.id == holder; });
+    if (held || key.run) same = holder;
+  } else if (key.run && request.reached <= key.run->reached + rules(request.cls).window) {
+    same = key.run->by;
+  }
+  if (!same)
+    for (const auto& h : key.held)
+      if (h.batch == batch && !same) same = h.id;
+  key.held.push_back({id, batch});
+  return same;
+}
+
+void KeyTable::keep(const Request& request, RequestId id, UnixTime until) {
+  if (request.token.empty()) return;
+  keys_[{request.cls, request.token}].entry = Entry{id, until};
+}
+
+void KeyTable::forget(const Request& request, RequestId id) {
+  if (auto* key = find(request); key && key->entry && key->entry->holder == id) key->entry.reset();
+}
+
+void KeyTable::leave_hold(const Request& request, RequestId id) {
+  auto* key = find(request);
+  if (!key) return;
+  std::erase_if(key->held, [&](const auto& h) { return h.id == id; });
+  if (key->held.empty() && !key->entry && !key->run) keys_.erase({request.cls, request.token});
+}
+
+void KeyTable::started(const Request& request, RequestId id) {
+  if (request.token.empty()) return;
+  auto& key = keys_[{request.cls, request.token}];
+  key.run = Run{id, request.reached, RunState::going, nullptr};
+  std::erase_if(key.held, [&](const auto& h) { return h.id == id; });
+}
+
+void KeyTable::ended(const Request& request, RequestId id, RunState state, Result result) {
+  auto* key = find(request);
+  if (!key || !key->run || key->run->by != id) return;
+  key->run->state = state;
+  key->run->result = std::move(result);
+}
+
+const KeyTable::Run* KeyTable::any_run(const Request& request) const {
+  const auto* key = find(request);
+  return key && key->run ? &*key->run : nullptr;
+}
+
+const KeyTable::Run* KeyTable::covering_run(const Request& request) const {
+  const auto* run = any_run(request);
+  return run && request.reached <= run->reached + rules(request.cls).window + kWindowMargin ? run : nullptr;
+}
+
+void KeyTable::sweep(UnixTime now) {
+  for (auto it = keys_.begin(); it != keys_.end();) {
+    auto& [name, key] = *it;
+    const auto& rule = rules(name.first);
+    if (key.entry && key.entry->until + rule.linger < now) key.entry.reset();
+    if (key.run && key.run->state != RunState::going && !key.entry &&
+        key.run->reached + rule.window + kWindowMargin + rule.linger < now)
+      key.run.reset();
+    it = !key.entry && !key.run && key.held.empty() ? keys_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace granitegap::edge
--- /dev/null
+++ b/src/edge/types.h
@@ -0,0 +1,144 @@
+// What a front end, the kernel link and the announce service exchange with the edge. Names no protocol.
+#pragma once
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "granitegap/policy.h"
+
+namespace granitegap::edge {
+
+using UnixTime = std::chrono::sys_time<Duration>;
+
+struct Now {
+  TimePoint steady;  // what the module decides by
+  UnixTime unix;     // what requests are stamped with
+};
+
+// Names as they stand in the settings; an id is the position in its list.
+struct Catalog {
+  std::vector<std::string> classes, tenants;
+  std::vector<bool> keyed;  // by class
+
+  std::optional<ClassId> find_class(std::string_view name) const;
+  // Absent or unknown: an id past the list, which the module reads as no tenant of its own.
+  TenantId find_tenant(std::string_view name) const;
+  bool is_keyed(ClassId id) const { return std::size_t(id) < keyed.size() && keyed[std::size_t(id)]; }
+};
+
+enum class PeerId : std::uint64_t {};
+
+// Where an answer goes: a peer's connection and the stream on it.
+struct Origin {
+  PeerId peer{};
+  std::uint32_t stream = 0;
+};
+
+struct Request {
+  Origin from;
+  std::string rid;  // unique to this try, known to the kernel
+  ClassId cls{};
+  TenantId tenant{};
+  CallerId caller{};
+  UnixTime reached;  // the machine
+  std::optional<Duration> cost_hint;
+  Kilobytes memory{};
+  std::string token;       // the same for all tries of one keyed request
+  std::uint64_t read = 0;  // what a read is about; 0: not told
+  std::string body;
+};
+
+enum class Outcome : std::uint8_t { served, refused, failed };
+using Result = std::shared_ptr<const std::string>;
+
+struct Answer {
+  Origin to;
+  Outcome outcome = Outcome::failed;
+  Result result;               // where served
+  std::optional<double> hint;  // none before the module has started
+  Duration backoff{};
+  bool last = false;  // no other server should be tried
+};
+
+struct HealthCheck {
+  Origin from;
+  bool full = false;
+};
+struct HealthAnswer {
+  Origin to;
+  bool good = true;
+  std::optional<double> hint;
+};
+
+// ---- To the kernel ----
+struct StartRun {
+  std::string rid;
+  ClassId cls{};
+  std::string body;
+};
+struct ResumeRun {
+  std::string rid;
+};
+struct StopRun {
+  std::string rid;
+};
+struct AskGauges {};
+struct DeepCheck {
+  std::uint64_t tag = 0;
+};
+using Command = std::variant<StartRun, ResumeRun, StopRun, AskGauges, DeepCheck>;
+
+// ---- From the kernel ----
+struct Booted {
+  bool cold = true;
+  std::chrono::milliseconds ago{};
+};
+enum class RunEnd : std::uint8_t { ok, error, stopped, moot };
+struct RunReport {
+  std::string rid;
+  RunEnd end{};
+  Duration took{};
+  std::string result;
+};
+enum class CommandKind : std::uint8_t { start, resume, stop, other };
+struct CommandRejected {
+  CommandKind kind{};
+  std::string rid;
+};
+struct Gauges {
+  std::vector<float> values;  // in the order of the settings
+};
+struct DeepCheckDone {
+  std::uint64_t tag = 0;
+  bool good = false;
+};
+
+// ---- From the program ----
+struct PeerGone {  // nothing can be delivered to it any more
+  PeerId peer{};
+};
+struct Drain {
+  Duration until_stopped{};
+};
+
+using Input = std::variant<Request, HealthCheck, PeerGone, Drain, Booted, RunReport, CommandRejected, Gauges,
+                           DeepCheckDone>;
+
+// ---- To the list, the peers and the log ----
+struct Report {
+  bool accepting = true;
+};
+struct CloseIdlePeers {
+  Duration idle_for{};
+};
+struct Remark {
+  std::string text;
+};
+using Output = std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark>;
+
+}  // namespace granitegap::edge
--- /dev/null
+++ b/src/frames/frames.h
@@ -0,0 +1,52 @@
+// The client proxies' binary frames: bytes to typed messages and back. No sockets.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "edge/types.h"
+
+namespace granitegap::frames {
+
+inline constexpr std::size_t kMaxBody = 2048;
+inline constexpr std::size_t kMaxOpen = 32;  // requests on one connection
+
+// A frame broken in a way that leaves its stream known: that request alone is turned away.
+struct BadRequest {
+  std::uint32_t stream = 0;
+  std::string why;
+};
+// Nothing after it can be trusted: the connection ends once its open requests are answered.
+struct BadStream {
+  std::string why;
+};
+using Message = std::variant<edge::Request, edge::HealthCheck, BadRequest, BadStream>;
+
+// Takes bytes as they come and gives whole messages. A frame too large to be a request is skipped as its
+// bytes arrive, so that a connection's buffer stays small whatever is sent.
+class Reader {
+ public:
+  Reader(const edge::Catalog& catalog, edge::PeerId peer) : catalog_(&catalog), peer_(peer) {}
+  void add(std::string_view bytes);
+  std::optional<Message> next();
+  // Bytes of an unfinished frame stand here when the connection ends.
+  bool in_frame() const { return skip_ > 0 || at_ < buffer_.size(); }
+
+ private:
+  Message decode(std::uint8_t type, std::uint32_t stream, std::string_view payload) const;
+  Message decode_request(std::uint32_t stream, std::string_view payload) const;
+  const edge::Catalog* catalog_;
+  edge::PeerId peer_;
+  std::string buffer_;
+  std::size_t at_ = 0, skip_ = 0;
+  bool broken_ = false;
+};
+
+void encode(const edge::Answer& answer, std::string& to);
+void encode(const edge::HealthAnswer& answer, std::string& to);
+void encode_error(std::string_view why, std::string& to);  // on stream 0
+void encode_goaway(std::string& to);
+
+}  // namespace granitegap::frames
--- /dev/null
+++ b/src/kernel/lines.h
@@ -0,0 +1,46 @@
+// The kernel's lines: bytes to typed notices and commands to bytes. No sockets.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "edge/types.h"
+
+namespace granitegap::kernel {
+
+struct Remark {};  // carries no meaning beyond its number
+struct Info {
+  std::string tag;
+  edge::Gauges gauges;
+};
+struct BadLine {
+  std::string why;
+};
+struct Notice {
+  std::uint64_t number = 0;  // 0: not numbered
+  std::variant<edge::Booted, edge::RunReport, edge::CommandRejected, Info, edge::DeepCheckDone, Remark,
+               BadLine>
+      what;
+};
+
+class Reader {
+ public:
+  void add(std::string_view bytes);
+  std::optional<Notice> next();
+
+ private:
+  Notice decode(std::string_view line);
+  std::string buffer_;
+  std::size_t at_ = 0;
+  std::optional<Notice> waits_;  // a run's report whose result has not all come
+  std::size_t result_bytes_ = 0;
+  bool broken_ = false;
+};
+
+void encode_open(std::uint64_t last_notice, std::string& to);
+void encode_ask(std::string_view tag, std::string& to);
+void encode(const edge::Command& command, const edge::Catalog& catalog, std::string& to);
+
+}  // namespace granitegap::kernel
--- /dev/null
+++ b/src/kernel/link.h
@@ -0,0 +1,70 @@
+// The actor that keeps the link to the kernel: reconnects, drops notices seen before, and re-sends what a
+// lost link swallowed.
+#pragma once
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "edge/types.h"
+#include "kernel/lines.h"
+#include "log/logger.h"
+#include "mailbox/mailbox.h"
+
+namespace granitegap::kernel {
+
+// What has been asked of the kernel and not yet been reported over. Knows no socket.
+//
+// A command on a lost link may or may not have been carried out. After the next link's replay of notices,
+// whose end an answer to SYSINFO marks, what is still open here is asked again: for a run that goes on that
+// changes nothing, and one whose end was replayed is no longer here, so that nothing runs twice.
+class Ledger {
+ public:
+  void note(const edge::Command& command);
+  // False for a notice that was read before.
+  bool take(const Notice& notice);
+  std::uint64_t last_notice() const { return last_; }
+  std::vector<edge::Command> to_ask_again() const;
+
+ private:
+  struct Asked {
+    std::uint64_t order = 0;
+    edge::Command run;  // StartRun or ResumeRun
+    bool stop = false;
+  };
+  std::uint64_t last_ = 0, order_ = 0;
+  std::map<std::string, Asked> runs_;
+  std::set<std::uint64_t> checks_;
+};
+
+class Link {
+ public:
+  using Mail = Mailbox<edge::Input>;
+  Link(const boost::asio::any_io_executor& executor, boost::asio::ip::tcp::endpoint kernel,
+       const edge::Catalog& catalog, Mail& module, Logger& log);
+  boost::asio::awaitable<void> run();
+  void send(const edge::Command& command);
+
+ private:
+  boost::asio::awaitable<std::string> serve_link(boost::asio::ip::tcp::socket& socket);
+  boost::asio::awaitable<void> write(boost::asio::ip::tcp::socket& socket);
+  boost::asio::awaitable<std::string> read(boost::asio::ip::tcp::socket& socket);
+  boost::asio::awaitable<void> hand_in(edge::Input input);
+  boost::asio::awaitable<void> take(Notice notice);
+  void flush() { wake_.cancel(); }
+
+  boost::asio::any_io_executor executor_;
+  boost::asio::ip::tcp::endpoint kernel_;
+  const edge::Catalog& catalog_;
+  Mail& module_;
+  Logger& log_;
+  Ledger ledger_;
+  std::string outgoing_;
+  boost::asio::steady_timer wake_;
+  bool ready_ = false, asked_gauges_ = false;
+};
+
+}  // namespace granitegap::kernel
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,42 @@
+// The front end for client proxies: accepts connections, owns their actors, hands out answers.
+#pragma once
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+#include "net/peer.h"
+
+namespace granitegap::net {
+
+class Listener {
+ public:
+  // `sockets`: the descriptors the whole process may hold.
+  Listener(const boost::asio::any_io_executor& executor, const boost::asio::ip::tcp::endpoint& at,
+           std::size_t sockets, const edge::Catalog& catalog, Mailbox<edge::Input>& module, Logger& log);
+  boost::asio::awaitable<void> run();
+  boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+
+  void deliver(const edge::Origin& to, Outgoing message);
+  void close_idle(Duration idle_for);
+  // Nothing new comes in any more: what waits in the backlog is taken, the door closed, every peer told.
+  void close_door();
+  bool at_rest() const;
+
+ private:
+  void start_peer(boost::asio::ip::tcp::socket socket);
+  bool close_idlest();
+  boost::asio::any_io_executor executor_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_;
+  std::size_t most_peers_;
+  const edge::Catalog& catalog_;
+  Mailbox<edge::Input>& module_;
+  Logger& log_;
+  std::map<edge::PeerId, std::shared_ptr<Peer>> peers_;
+  std::uint64_t next_peer_ = 1;
+  bool door_closed_ = false;
+};
+
+}  // namespace granitegap::net
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <functional>
@@ -186,4 +187,19 @@
   return parsed;
 }
 
+TimerFired with_gauges(TimerToken token, std::span<const float> values,
+                       const std::vector<std::string>& names) {
+  TimerFired fired;
+  fired.token = token;
+  for (std::size_t i = 0; i < std::min(names.size(), values.size()); ++i) {
+    const double value = values[i];
+    if (!std::isfinite(value) || value < 0) continue;
+    if (names[i] == "core_use") fired.core_use = value;
+    if (names[i] == "on_cores") fired.on_cores = value;
+    if (names[i] == "heap_share") fired.memory_share = value;
+    if (names[i] == "links") fired.connections = value;
+  }
+  return fired;
+}
+
 }  // namespace granitegap
