Play recorded exchanges against the whole program; parts tested without sockets

Seen: the program had no test of its own. tests/exchanges/*.txt hold bytes for kernel, proxies and announce service; the player compares every byte sent, with the module's clock standing still so that nothing depends on pace. The wiring moved to src/server so that a test can hold it; main keeps configuration, signals and the exit status.

--- a/src/edge/module_actor.cpp
+++ b/src/edge/module_actor.cpp
@@ -6,16 +6,20 @@
 // Over what all connections together may have open.
 constexpr std::size_t kMostMail = 32768;
 
+}  // namespace
+
 Now read_clocks() {
   return {
       TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())),
       std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())};
 }
 
-}  // namespace
-
-ModuleActor::ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch)
-    : mailbox_(executor, kMostMail), edge_(std::move(edge)), dispatch_(std::move(dispatch)) {}
+ModuleActor::ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch,
+                         Clocks clocks)
+    : mailbox_(executor, kMostMail),
+      edge_(std::move(edge)),
+      dispatch_(std::move(dispatch)),
+      clocks_(std::move(clocks)) {}
 
 boost::asio::awaitable<void> ModuleActor::run() {
   using Clock = std::chrono::steady_clock;
@@ -23,7 +27,7 @@
     const auto timer = edge_.next_timer();
     const auto until = timer ? Clock::time_point(timer->time_since_epoch()) : Clock::time_point::max();
     auto mail = co_await mailbox_.take(until);
-    for (auto& output : edge_.step(read_clocks(), std::move(mail))) dispatch_(std::move(output));
+    for (auto& output : edge_.step(clocks_(), std::move(mail))) dispatch_(std::move(output));
   }
 }
 
--- a/src/edge/module_actor.h
+++ b/src/edge/module_actor.h
@@ -8,10 +8,14 @@
 
 namespace granitegap::edge {
 
+Now read_clocks();
+
 class ModuleActor {
  public:
+  using Clocks = std::function<Now()>;
   using Dispatch = std::function<void(Output)>;
-  ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch);
+  ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch,
+              Clocks clocks = read_clocks);
   boost::asio::awaitable<void> run();
   Mailbox<Input>& mailbox() { return mailbox_; }
   // Nothing waits in the mailbox and no request waits for its answer.
@@ -21,6 +25,7 @@
   Mailbox<Input> mailbox_;
   Edge edge_;
   Dispatch dispatch_;
+  Clocks clocks_;
 };
 
 }  // namespace granitegap::edge
--- /dev/null
+++ b/src/server/server.cpp
@@ -0,0 +1,97 @@
+#include "server/server.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <exception>
+
+namespace granitegap {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLastMoment = 60ms;   // before the kill
+constexpr milliseconds kDoorBefore = 400ms;  // the end, for what the list has not kept away
+constexpr milliseconds kCrossing = 150ms;    // a request may cross the notice on its connection for 50 ms
+constexpr milliseconds kLook = 5ms;
+
+template <class Protocol>
+typename Protocol::endpoint address(const config::Endpoint& e) {
+  return {asio::ip::make_address(e.host), e.port};
+}
+
+}  // namespace
+
+Server::Server(asio::io_context& context, config::Config config, edge::ModuleActor::Clocks clocks)
+    : context_(context),
+      config_(std::move(config)),
+      log_(config_.name),
+      module_(
+          context.get_executor(), edge::Edge(config_.parsed, config_.catalog, config_.seed),
+          [this](edge::Output output) { dispatch(std::move(output)); }, std::move(clocks)),
+      link_(context.get_executor(), address<asio::ip::tcp>(config_.kernel), config_.catalog,
+            module_.mailbox(), log_),
+      announcer_(context.get_executor(), address<asio::ip::udp>(config_.announce), config_.name, log_),
+      listener_(context.get_executor(), address<asio::ip::tcp>(config_.listen), config_.limits.sockets,
+                config_.catalog, module_.mailbox(), log_) {}
+
+void Server::start() {
+  spawn(module_.run());
+  spawn(link_.run());
+  spawn(announcer_.run());
+  spawn(listener_.run());
+  const auto at = local();
+  log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()));
+}
+
+// An actor that ends by an exception has broken its promises: better a clear end than half a server.
+void Server::spawn(asio::awaitable<void> actor) {
+  asio::co_spawn(context_, std::move(actor), [](const std::exception_ptr& failed) {
+    if (failed) std::rethrow_exception(failed);
+  });
+}
+
+void Server::dispatch(edge::Output output) {
+  if (auto* answer = std::get_if<edge::Answer>(&output)) {
+    const auto to = answer->to;
+    listener_.deliver(to, std::move(*answer));
+  } else if (const auto* health = std::get_if<edge::HealthAnswer>(&output)) {
+    listener_.deliver(health->to, *health);
+  } else if (const auto* command = std::get_if<edge::Command>(&output)) {
+    link_.send(*command);
+  } else if (const auto* report = std::get_if<edge::Report>(&output)) {
+    announcer_.report(*report);
+  } else if (const auto* idle = std::get_if<edge::CloseIdlePeers>(&output)) {
+    listener_.close_idle(idle->idle_for);
+  } else if (const auto* remark = std::get_if<edge::Remark>(&output)) {
+    log_.line(remark->text);
+  }
+}
+
+void Server::drain() {
+  if (std::exchange(leaving_, true)) return;
+  log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left");
+  if (!module_.mailbox().post(edge::Drain{config_.stop})) log_.line("mailbox full: drain not told");
+  spawn(leave());
+}
+
+// Takes and answers what still comes as long as callers may not have heard; then closes the door, sees all
+// answers off and ends before the kill.
+asio::awaitable<void> Server::leave() {
+  using Clock = std::chrono::steady_clock;
+  const auto end = Clock::now() + config_.stop - std::min(kLastMoment, config_.stop / 8);
+  asio::steady_timer timer(context_, end - std::min(kDoorBefore, config_.stop / 4));
+  co_await timer.async_wait(asio::use_awaitable);
+  listener_.close_door();
+  const auto crossed = Clock::now() + std::min(kCrossing, config_.stop / 16);
+  while (Clock::now() < end) {
+    timer.expires_after(kLook);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (Clock::now() >= crossed && module_.at_rest() && listener_.at_rest()) break;
+  }
+  log_.line(module_.at_rest() && listener_.at_rest() ? "left: all answered" : "left: with answers unsent");
+  context_.stop();
+}
+
+}  // namespace granitegap
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,261 @@
+// Plays recorded byte exchanges (tests/exchanges/*.txt) against the whole program on loopback sockets and
+// compares every byte it sends. The clock the program decides by stands still unless a script moves it, so
+// that what it answers never depends on the machine's pace.
+//
+//   kernel > TEXT     bytes to the program on the kernel's link (a new one after `kernel drop`)
+//   NAME > ...        bytes to the program on the client proxy's connection NAME
+//   kernel < TEXT, NAME < ...   exactly these bytes come next
+//   NAME < end        the program ends the connection
+//   NAME close        the client proxy goes
+//   announce < TEXT   the next report that differs from the one before
+//   advance MS        moves the clock, and has the program look at it
+//   drain, left       the notice to leave; the program has ended by itself
+// Text takes the escapes \r \n \\. A proxy's bytes are `raw HEX` or a frame whose length is filled in:
+//   frame TYPE STREAM [code N] NAME=VALUE... [| BODY]      t0=@MS counts from the clock's start
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+#include "server/server.h"
+
+namespace granitegap {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kUnixStart = 1764576000000;
+constexpr int kHangSeconds = 20;  // ends a test that waits for what never comes; proves nothing else
+
+std::string read_file(const std::filesystem::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  REQUIRE(in);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::string unescape(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '\\' && i + 1 < text.size()) {
+      const char c = text[++i];
+      out += c == 'r' ? '\r' : c == 'n' ? '\n' : c;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+std::string number(std::size_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) out += char(value >> (8 * i) & 0xff);
+  return out;
+}
+
+std::string proxy_bytes(const std::string& line) {
+  const auto bar = line.find(" | ");
+  std::istringstream words(line.substr(0, bar));
+  std::string kind, word, out, fields;
+  words >> kind;
+  if (kind == "raw") {
+    while (words >> word)
+      for (std::size_t i = 0; i + 1 < word.size(); i += 2)
+        out += char(std::stoi(word.substr(i, 2), nullptr, 16));
+    return out;
+  }
+  REQUIRE(kind == "frame");
+  int type = 0, count = 0;
+  std::size_t stream = 0;
+  words >> type >> stream;
+  out = number(std::size_t(type), 1) + number(stream, 4);
+  while (words >> word) {
+    if (word == "code") {
+      words >> word;
+      out += number(std::stoul(word), 1);
+      continue;
+    }
+    const auto eq = word.find('=');
+    auto value = word.substr(eq + 1);
+    if (value.starts_with('@')) value = std::to_string(kUnixStart + std::stoll(value.substr(1)));
+    fields += number(eq, 1);
+    fields += word.substr(0, eq);
+    fields += number(value.size(), 2);
+    fields += value;
+    ++count;
+  }
+  if (type != 9) out += number(std::size_t(count), 1);
+  out += fields;
+  if (bar != std::string::npos) out += unescape(line.substr(bar + 3));
+  return number(out.size(), 4).append(out);
+}
+
+std::string shown(const std::string& bytes) {
+  std::string out;
+  for (const char c : bytes) {
+    char hex[8];
+    std::snprintf(hex, sizeof hex, "\\x%02x", unsigned(std::uint8_t(c)));
+    out += c >= ' ' && c < 127 ? std::string(1, c) : std::string(hex);
+  }
+  return out;
+}
+
+class Play {
+ public:
+  explicit Play(const std::filesystem::path& folder)
+      : kernel_door_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        announce_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
+    limit(announce_);
+    auto json = read_file(folder / "config.json");
+    const auto fill = [&](const std::string& name, unsigned port) {
+      json.replace(json.find(name), name.size(), std::to_string(port));
+    };
+    fill("KERNEL", kernel_door_.local_endpoint().port());
+    fill("ANNOUNCE", announce_.local_endpoint().port());
+    auto config = config::parse(json);
+    REQUIRE(std::holds_alternative<config::Config>(config));
+    const auto start = std::chrono::steady_clock::now() + std::chrono::hours(24);
+    server_.emplace(context_, std::move(std::get<config::Config>(config)), [this, start] {
+      const auto steady = std::chrono::duration_cast<Duration>(start.time_since_epoch());
+      return edge::Now{TimePoint(steady + milliseconds(passed_)),
+                       edge::UnixTime(milliseconds(kUnixStart + passed_))};
+    });
+    server_->start();
+    door_ = server_->local();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~Play() {
+    context_.stop();
+    thread_.join();
+  }
+  Play(const Play&) = delete;
+  Play& operator=(const Play&) = delete;
+
+  void line(const std::string& text) {
+    std::istringstream words(text);
+    std::string who, verb, rest;
+    words >> who >> verb;
+    std::getline(words >> std::ws, rest);
+    if (who == "advance") return advance(std::stoll(verb));
+    if (who == "drain") return asio::post(context_, [this] { server_->drain(); });
+    if (who == "left") {
+      thread_.join();
+      thread_ = std::thread([] {});
+      return;
+    }
+    if (who == "announce") return announced(rest);
+    if (who == "kernel" && verb != "drop" && !sockets_.count(who)) {
+      limit(kernel_door_);
+      sockets_.emplace(who, kernel_door_.accept());
+    }
+    if (who != "kernel" && !sockets_.count(who)) {
+      tcp::socket socket(io_);
+      socket.connect(door_);
+      sockets_.emplace(who, std::move(socket));
+    }
+    if (verb == "close" || verb == "drop") {
+      sockets_.erase(who);
+      return;
+    }
+    auto& socket = sockets_.at(who);
+    limit(socket);
+    if (verb == "<" && rest == "end") {
+      char byte = 0;
+      CHECK(::recv(socket.native_handle(), &byte, 1, 0) == 0);
+      return;
+    }
+    const auto bytes = who == "kernel" ? unescape(rest) : proxy_bytes(rest);
+    if (verb == ">") {
+      asio::write(socket, asio::buffer(bytes));
+    } else {
+      std::string got(bytes.size(), '\0');
+      std::size_t have = 0;
+      while (have < got.size()) {
+        const auto n = ::recv(socket.native_handle(), got.data() + have, got.size() - have, 0);
+        if (n <= 0) break;
+        have += std::size_t(n);
+      }
+      got.resize(have);
+      REQUIRE(shown(got) == shown(bytes));
+    }
+  }
+
+ private:
+  template <class Socket>
+  static void limit(Socket& socket) {
+    const timeval hang{kHangSeconds, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &hang, sizeof hang);
+  }
+  void advance(std::int64_t by) {
+    passed_ += by;
+    std::promise<void> seen;
+    asio::post(context_, [&] {
+      REQUIRE(server_->module().mailbox().post(edge::PeerGone{}));  // no such peer: only wakes the module
+      seen.set_value();
+    });
+    seen.get_future().get();
+  }
+  void announced(const std::string& expected) {
+    std::string got;
+    do {
+      char bytes[256];
+      const auto n = ::recv(announce_.native_handle(), bytes, sizeof bytes, 0);
+      REQUIRE(n > 0);
+      got.assign(bytes, std::size_t(n));
+    } while (got == last_report_);
+    last_report_ = got;
+    CHECK(got == expected);
+  }
+
+  asio::io_context io_, context_{1};
+  tcp::acceptor kernel_door_;
+  udp::socket announce_;
+  std::atomic<std::int64_t> passed_ = 0;
+  std::optional<Server> server_;
+  tcp::endpoint door_;
+  std::thread thread_;
+  std::map<std::string, tcp::socket> sockets_;
+  std::string last_report_;
+};
+
+TEST_CASE("recorded exchanges") {
+  const std::filesystem::path folder = EXCHANGES;
+  std::size_t played = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() != ".txt") continue;
+    ++played;
+    SUBCASE(entry.path().filename().c_str()) {
+      INFO("exchange ", entry.path().filename().string());
+      Play play(folder);
+      std::istringstream lines(read_file(entry.path()));
+      int at = 0;
+      for (std::string line; std::getline(lines, line);) {
+        ++at;
+        if (line.empty() || line.starts_with('#')) continue;
+        INFO("line ", at, ": ", line);
+        play.line(line);
+      }
+    }
+  }
+  CHECK(played > 0);
+}
+
+}  // namespace
+}  // namespace granitegap
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,149 @@
+// The program's parts without sockets or real time.
+#include <doctest/doctest.h>
+
+#include "config/config.h"
+#include "edge/edge.h"
+#include "edge/keys.h"
+#include "frames/frames.h"
+#include "kernel/link.h"
+
+namespace granitegap {
+namespace {
+
+using namespace std::chrono_literals;
+using edge::KeyTable;
+
+constexpr auto kConfig =
+    R"({"name":"n1","listen":"127.0.0.1:7001","kernel":"127.0.0.1:1","announce":"127.0.0.1:2",
+  "seed":"ff","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":{
+  "classes":[{"name":"a, b","aim_ms":100.5,"effect":"dedup"}],"orgs":[{"name":"x y"}],
+  "specifics":{"cpus":6,"gauges":["core_use","links"],"class_calls":[false]}}})";
+
+TEST_CASE("config: one settings reader serves nested JSON, and names stay as they are") {
+  const auto parsed = config::parse(kConfig);
+  REQUIRE(std::holds_alternative<config::Config>(parsed));
+  const auto& c = std::get<config::Config>(parsed);
+  CHECK(c.seed == 255);
+  CHECK(c.stop == 3200ms);
+  CHECK(c.catalog.classes == std::vector<std::string>{"a, b"});
+  CHECK(c.catalog.tenants == std::vector<std::string>{"x y"});
+  CHECK(c.catalog.keyed == std::vector<bool>{true});
+  CHECK(c.parsed.settings.cores == 6.0);
+  CHECK(c.parsed.settings.classes.at(0).aim == Duration(100500));
+  CHECK(c.parsed.settings.classes.at(0).calls == false);
+  CHECK(c.parsed.gauges == std::vector<std::string>{"core_use", "links"});
+}
+
+TEST_CASE("config: what is wrong is told in one line") {
+  const auto problem = [](std::string json, const std::string& old, const std::string& instead) {
+    json.replace(json.find(old), old.size(), instead);
+    const auto parsed = config::parse(json);
+    REQUIRE(std::holds_alternative<config::Problem>(parsed));
+    return std::get<config::Problem>(parsed).what;
+  };
+  CHECK(problem(kConfig, "127.0.0.1:7001", "nowhere") == "listen is no address with a port: nowhere");
+  CHECK(problem(kConfig, "\"ff\"", "7") == "seed is not a text");
+  CHECK(problem(kConfig, "\"stop_ms\":3200,", "") == "no stop_ms");
+  CHECK(problem(kConfig, "3200", "-1") == "stop_ms is no usable number");
+  CHECK(problem(kConfig, "\"classes\"", "\"c\"") == "\"settings\" names no class");
+  CHECK(problem(kConfig, "{\"name\"", "{name").find('\n') == std::string::npos);
+}
+
+edge::Request keyed(std::string rid, Duration reached, std::string body = "b") {
+  edge::Request r;
+  r.rid = std::move(rid);
+  r.token = "t";
+  r.reached = edge::UnixTime(reached);
+  r.memory = Kilobytes(20000);
+  r.body = std::move(body);
+  return r;
+}
+
+// Guards against running a write twice: the window counts from the arrival of the try that ran.
+TEST_CASE("keys: a run covers what reached the machine within its window, however late it is read") {
+  KeyTable keys({{8949ms, 3s}});
+  const auto first = keyed("1", 10s);
+  CHECK_FALSE(keys.arrive(first, RequestId{1}, 1));
+  CHECK_FALSE(keys.covering_run(first));
+  keys.started(first, RequestId{1});
+  keys.ended(first, RequestId{1}, KeyTable::RunState::bad, nullptr);
+  keys.sweep(edge::UnixTime(20s));
+  CHECK(keys.covering_run(keyed("2", 10s + 8949ms + 50ms)));
+  CHECK_FALSE(keys.covering_run(keyed("3", 10s + 8949ms + 1001ms)));
+  keys.sweep(edge::UnixTime(30s));
+  CHECK(keys.size() == 0);
+}
+
+TEST_CASE("keys: repeats are linked to what is kept, or to what is held and came in the same batch") {
+  KeyTable keys({{8949ms, 3s}});
+  const auto one = keyed("1", 0s), two = keyed("2", 1ms), three = keyed("3", 2ms), four = keyed("4", 12s);
+  CHECK_FALSE(keys.arrive(one, RequestId{1}, 1));
+  CHECK(keys.arrive(two, RequestId{2}, 1) == RequestId{1});
+  CHECK_FALSE(keys.arrive(three, RequestId{3}, 2));
+  keys.keep(one, RequestId{1}, edge::UnixTime(9s));
+  CHECK(keys.arrive(three, RequestId{3}, 3) == RequestId{1});
+  CHECK_FALSE(keys.arrive(four, RequestId{4}, 4));
+  keys.forget(one, RequestId{1});
+  for (unsigned id = 1; id <= 4; ++id) keys.leave_hold(one, RequestId{id});
+  CHECK(keys.size() == 0);
+}
+
+TEST_CASE("ledger: only what no notice showed as over is asked again, stops after their runs") {
+  kernel::Ledger ledger;
+  ledger.note(edge::StartRun{"b", ClassId{0}, ""});
+  ledger.note(edge::StartRun{"a", ClassId{0}, ""});
+  ledger.note(edge::StopRun{"b"});
+  ledger.note(edge::StopRun{"never started"});
+  CHECK(ledger.take({1, edge::RunReport{"a", edge::RunEnd::ok, {}, ""}}));
+  CHECK_FALSE(ledger.take({1, edge::RunReport{"b", edge::RunEnd::ok, {}, ""}}));
+  const auto again = ledger.to_ask_again();
+  REQUIRE(again.size() == 2);
+  CHECK(std::get<edge::StartRun>(again[0]).rid == "b");
+  CHECK(std::get<edge::StopRun>(again[1]).rid == "b");
+  CHECK(ledger.last_notice() == 1);
+}
+
+TEST_CASE("kernel lines: a result may hold line ends and come in pieces") {
+  const std::string bytes =
+      "REAP 7 aa OK 1.5 4\r\n\r\nx\n\r\nINFO t 0.5 2\r\nBOOTED COLD 12\r\nWHAT\r\nINFO t\r\n";
+  for (const std::size_t piece : {std::size_t(1), std::size_t(3), bytes.size()}) {
+    kernel::Reader reader;
+    std::vector<kernel::Notice> got;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+      reader.add(std::string_view(bytes).substr(at, piece));
+      while (auto notice = reader.next()) got.push_back(std::move(*notice));
+    }
+    REQUIRE(got.size() == 4);  // nothing is read past a line that makes no sense
+    CHECK(got[0].number == 7);
+    CHECK(std::get<edge::RunReport>(got[0].what).result == "\r\nx\n");
+    CHECK(std::get<edge::RunReport>(got[0].what).took == 1500us);
+    CHECK(std::get<kernel::Info>(got[1].what).gauges.values == std::vector<float>{0.5F, 2});
+    CHECK(std::get<edge::Booted>(got[2].what).ago == 12ms);
+    CHECK(std::holds_alternative<kernel::BadLine>(got[3].what));
+  }
+}
+
+// Guards against buffers that grow with what is sent.
+TEST_CASE("frames: an oversize request is turned away and skipped, and the next one is read") {
+  edge::Catalog catalog{{"tile"}, {}, {false}};
+  frames::Reader reader(catalog, edge::PeerId{1});
+  reader.add(std::string_view("\x00\x03\x00\x00\x00\x00\x00\x00\x05", 9));
+  const auto bad = reader.next();
+  REQUIRE(bad);
+  CHECK(std::get<frames::BadRequest>(*bad).stream == 5);
+  const std::string filler(4096, 'x');
+  std::size_t left = 0x30000 - 5;
+  for (; left > filler.size(); left -= filler.size()) {
+    reader.add(filler);
+    CHECK_FALSE(reader.next());
+  }
+  reader.add(filler.substr(0, left));
+  CHECK_FALSE(reader.in_frame());
+  reader.add(std::string_view("\x00\x00\x00\x06\x06\x00\x00\x00\x02\x00", 10));
+  const auto check = reader.next();
+  REQUIRE(check);
+  CHECK(std::get<edge::HealthCheck>(*check).from.stream == 2);
+}
+
+}  // namespace
+}  // namespace granitegap
