--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -48,6 +48,7 @@
   };
 
   void on(Request request);
+  void on(const UnusableRequest& request) { turn_away(request.from); }
   void on(const HealthCheck& check);
   void on(const PeerGone& gone);
   void on(const Drain& drain);
--- a/src/edge/module_actor.cpp
+++ b/src/edge/module_actor.cpp
@@ -1,5 +1,8 @@
 #include "edge/module_actor.h"
 
+#include <boost/asio/post.hpp>
+#include <utility>
+
 namespace granitegap::edge {
 namespace {
 
@@ -27,6 +30,10 @@
     const auto timer = edge_.next_timer();
     const auto until = timer ? Clock::time_point(timer->time_since_epoch()) : Clock::time_point::max();
     auto mail = co_await mailbox_.take(until);
+    // Lets all that is ready in, as one batch; and guards against a module so busy that its timers are always
+    // due, which would never let a socket be served.
+    co_await boost::asio::post(boost::asio::use_awaitable);
+    for (auto& more : co_await mailbox_.take(Clock::time_point::min())) mail.push_back(std::move(more));
     for (auto& output : edge_.step(clocks_(), std::move(mail))) dispatch_(std::move(output));
   }
 }
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -125,9 +125,12 @@
 struct Drain {
   Duration until_stopped{};
 };
+struct UnusableRequest {  // nothing of it can be relied on but where its answer goes
+  Origin from;
+};
 
-using Input = std::variant<Request, HealthCheck, PeerGone, Drain, Booted, RunReport, CommandRejected, Gauges,
-                           DeepCheckDone>;
+using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Drain, Booted, RunReport,
+                           CommandRejected, Gauges, DeepCheckDone>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -92,9 +92,11 @@
     error_code error;
     co_await socket.async_connect(kernel_, into(error));
     if (!error) {
+      const auto since = std::chrono::steady_clock::now();
       const auto why = co_await serve_link(socket);
       log_.line("kernel link lost: " + why);
-      pause = kFirstRetry;
+      // Guards against a link that breaks on the same bytes again and again.
+      if (std::chrono::steady_clock::now() - since > kLastRetry) pause = kFirstRetry;
       told = false;
     } else if (!std::exchange(told, true)) {
       log_.line("kernel not reached, trying on: " + error.message());
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -133,7 +133,9 @@
                     message);
 }
 
+// Through the module's mailbox where there is room, so that this answer too carries the current hint.
 void Peer::turn_away(std::uint32_t stream) {
+  if (module_.post(edge::UnusableRequest{{id_, stream}})) return;
   deliver(edge::Answer{{id_, stream}, edge::Outcome::refused, nullptr, {}, {}, false});
 }
 
