--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -51,7 +51,12 @@
 constexpr double kPauseGain = 2.0;          // and only for work worth this much more
 constexpr double kPaceGain = 0.1;           // weight of the newest run in the pace
 constexpr double kPersistent = 0.15;  // part of recent updates that decreased, from which overload persists
-constexpr double kPersistSeconds = 3.0;        // how recent
+constexpr double kPersistSeconds = 3.0;  // how recent
+constexpr double kSlowed =
+    2.5;  // times its best pace, for the crowd it has, at which a machine counts as slow
+constexpr double kCrowdSeconds = 1.0;          // over which the crowd on the cores is smoothed
+constexpr std::size_t kPaceRuns = 30;          // runs before a best pace means something
+constexpr Duration kOffTheList = seconds(6);   // a slow machine's stay off it, before it tries again
 constexpr int kUpdateTicks = 4;                // ticks of the host between updates
 constexpr Duration kRegimeLasts = seconds(2);  // before overload is logged as begun or over
 constexpr int kCallTries = 3;         // tries of one call that may have had its effect, where it may repeat
@@ -125,6 +130,10 @@
   double pace = 1;                   // time on the cores per unit of hinted work
   TimePoint last_refill, regime_since;
   bool overloaded = false;
+  double on_cores = 0;   // the gauge, smoothed
+  double best_pace = 0;  // the least that the pace has been
+  std::size_t paced_runs = 0;
+  std::optional<TimePoint> off_list_until;
   std::optional<TimePoint> drain_from, stop_at;
   std::deque<std::pair<TimePoint, int>> call_history;  // calls in hand from that time on
   std::deque<TimePoint> lingering;                     // when abandoned calls leave the dependency's hands
@@ -316,7 +325,27 @@
     admitted = drop > 1 ? std::max(admitted * decrease(drop), kLeastAdmitted)
                         : std::min(admitted + kAdmitStep * sec(update_every), 1.0);
     note_regime();
+    mind_the_list();
+  }
+  // A machine that turns slow reads slowly too: what deaf callers send it waits unread, where nothing here
+  // can refuse it in time, and only the list can keep it away. Never for waits alone: in an overload that all
+  // share, those that left would only add to the others' load. After a while it tries again, on new waits.
+  void mind_the_list() {
+    if (drain_from || !s.list_follows.value_or(false)) return;
+    if (off_list_until && now < *off_list_until) return;
+    const bool slow = paced_runs >= kPaceRuns && pace > kSlowed * best_pace * crowding();
+    if (slow && unread_ratio > kDropRatio && !off_list_until) {
+      off_list_until = now + kOffTheList;
+      act(SetHealth{true, false});
+      log("slow: off the list for a while");
+    } else if (off_list_until) {
+      off_list_until.reset();
+      newest_unread = unread_ratio = 0;
+      act(SetHealth{true, true});
+    }
   }
+  // What the crowd on the cores, reading included, may by itself make of the pace: a share, and thrashing.
+  double crowding() const { return std::pow(std::max(1.0, on_cores / cores), 2); }
   // Logged only when a regime has lasted, so that a line means something to those on call.
   void note_regime() {
     if ((worst_ratio > 1) == overloaded) regime_since = now;
@@ -597,6 +626,8 @@
     c.call_time += dur((sec(r.at_calls) - sec(c.call_time)) * kPaceGain);
     if (r.in.cost_hint)
       pace += kPaceGain * (std::clamp(sec(r.on_cores) / sec(*r.in.cost_hint), 0.01, 100.0) - pace);
+    if (r.in.cost_hint && warmth() >= 1 && ++paced_runs >= kPaceRuns)
+      best_pace = best_pace > 0 ? std::min(best_pace, pace) : pace;
   }
   // Pause: long runs make way for work worth more per expected work (heavy tails).
   void pause_long_runs() {
@@ -729,6 +760,8 @@
   void on(const TimerFired& e) {
     if (e.token != kUpdateToken) return answer_due(e.token);
     if (e.core_use && std::isfinite(*e.core_use)) core_use = std::clamp(*e.core_use, 0.0, 1.0);
+    if (e.on_cores && std::isfinite(*e.on_cores))
+      on_cores += (std::clamp(*e.on_cores, 0.0, 1e6) - on_cores) * weight_of_update(kCrowdSeconds);
     refill_shares();
     drop_expired_entries();
     forget_quiet_callers();
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -443,5 +443,56 @@
   EXPECT_GE(i.credit, 2 + 4);  // all forgotten: the whole pool, not a part of it for each caller ever seen
 }
 
+// Guards against a machine turned slow that deaf callers go on filling, and against servers that leave the
+// list over waits which a busy crowd explains.
+class Slowed : public ::testing::Test {
+ protected:
+  static Settings settings() {
+    auto s = roomy();
+    s.cold = false;
+    s.list_follows = true;
+    return s;
+  }
+  // Requests one after the other, each of so many ms on the cores, read so late.
+  void serve(int requests, Duration took, Duration unread, double on_cores) {
+    for (int k = 0; k < requests; ++k) {
+      auto r = request(++last, 0, seconds(4));
+      r.waited_unread = unread;
+      i.at(at, {r});
+      const auto until = at + took;
+      for (; at < until; at += milliseconds(20)) i.at(at, {TimerFired{TimerToken{0}, 1.0, on_cores, {}, {}}});
+      i.at(at, {RunEnded{RequestId(last), RunResult::ok, took}});
+    }
+  }
+  std::vector<bool> health() {
+    std::vector<bool> said;
+    for (const auto& h : Instance::only<SetHealth>(i.all)) said.push_back(h.good);
+    return said;
+  }
+  Instance i{settings()};
+  Duration at = milliseconds(0);
+  std::uint32_t last = 0;
+};
+TEST_F(Slowed, LeavesTheListAndTriesAgain) {
+  serve(40, milliseconds(100), milliseconds(0), 1);
+  const auto before = health();
+  EXPECT_EQ(std::count(before.begin(), before.end(), false), 0);
+  serve(8, milliseconds(800), milliseconds(0), 1);  // slow, and nothing waits unread yet
+  EXPECT_TRUE(health().empty());
+  serve(4, milliseconds(800), milliseconds(1200), 1);
+  ASSERT_FALSE(health().empty());
+  EXPECT_FALSE(health().back());
+  i.idle(at, at + seconds(7), 0.1);
+  EXPECT_TRUE(health().back());
+}
+TEST_F(Slowed, AWaitOrACrowdAloneIsNoReasonToLeave) {
+  serve(40, milliseconds(100), milliseconds(0), 1);
+  serve(8, milliseconds(100), milliseconds(1400), 1);  // late, at its usual pace
+  serve(8, milliseconds(800), milliseconds(0), 8);     // slow, in a crowd of four a core
+  serve(8, milliseconds(800), milliseconds(1200), 8);
+  const auto said = health();
+  EXPECT_EQ(std::count(said.begin(), said.end(), false), 0);
+}
+
 }  // namespace
 }  // namespace granitegap
