Close a faulty connection without resetting the answers before it

Seen while reading net/peer.cpp: closing with bytes unread resets the connection, and a reset can take answers that are still on their way. Peer::linger() reads on for a second at most after the last answer. The timer that ends a stuck write now holds the peer weakly.

--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMostOutgoing = 1024, kCrowdedOutgoing = 64;
 constexpr std::size_t kCrowdedBytes = 16384;
 constexpr auto kStuckAfter = std::chrono::seconds(30);
+constexpr auto kLinger = std::chrono::seconds(1);
 
 auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
@@ -44,6 +45,7 @@
   using namespace asio::experimental::awaitable_operators;
   try {
     co_await (read() && write());
+    co_await linger();
   } catch (const std::exception& e) {
     log_.line(std::string("connection dropped: ") + e.what());
   }
@@ -134,6 +136,17 @@
 }
 
 // Through the module's mailbox where there is room, so that this answer too carries the current hint.
+// Guards against a reset that takes the last answers with it: closing with bytes unread sends one.
+asio::awaitable<void> Peer::linger() {
+  std::array<char, 4096> unwanted;
+  asio::steady_timer limit(socket_.get_executor(), kLinger);
+  limit.async_wait([self = weak_from_this()](error_code cancelled) {
+    if (const auto peer = self.lock(); peer && !cancelled) peer->close();
+  });
+  for (error_code error; !error && socket_.is_open();)
+    co_await socket_.async_read_some(asio::buffer(unwanted), into(error));
+}
+
 void Peer::turn_away(std::uint32_t stream) {
   if (module_.post(edge::UnusableRequest{{id_, stream}})) return;
   deliver(edge::Answer{{id_, stream}, edge::Outcome::refused, nullptr, {}, {}, false});
@@ -157,8 +170,8 @@
     }
     unsent_ = bytes.size();
     asio::steady_timer stuck(socket_.get_executor(), kStuckAfter);
-    stuck.async_wait([this](error_code cancelled) {
-      if (!cancelled) close();
+    stuck.async_wait([self = weak_from_this()](error_code cancelled) {
+      if (const auto peer = self.lock(); peer && !cancelled) peer->close();
     });
     error_code error;
     co_await asio::async_write(socket_, asio::buffer(bytes), into(error));
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -23,7 +23,7 @@
 struct GoAway {};
 using Outgoing = std::variant<edge::Answer, edge::HealthAnswer, StreamError, GoAway>;
 
-class Peer {
+class Peer : public std::enable_shared_from_this<Peer> {
  public:
   using Clock = std::chrono::steady_clock;
   Peer(boost::asio::ip::tcp::socket socket, edge::PeerId id, const edge::Catalog& catalog,
@@ -39,6 +39,7 @@
  private:
   boost::asio::awaitable<void> read();
   boost::asio::awaitable<void> write();
+  boost::asio::awaitable<void> linger();
   boost::asio::awaitable<void> wait_for_room();
   bool take(frames::Message message);
   void turn_away(std::uint32_t stream);
