--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -88,35 +88,37 @@
   auto pause = kFirstRetry;
   bool told = false;
   for (;;) {
-    tcp::socket socket(executor_);
-    error_code error;
-    co_await socket.async_connect(kernel_, into(error));
-    if (!error) {
-      const auto since = std::chrono::steady_clock::now();
-      const auto why = co_await serve_link(socket);
-      log_.line("kernel link lost: " + why);
-      // Guards against a link that breaks on the same bytes again and again.
-      if (std::chrono::steady_clock::now() - since > kLastRetry) pause = kFirstRetry;
+    const auto end = co_await attempt();
+    if (end.reach == Reach::up) {
+      log_.line("kernel link lost: " + end.why);
+      pause = kFirstRetry;
       told = false;
     } else if (!std::exchange(told, true)) {
-      log_.line("kernel not reached, trying on: " + error.message());
+      log_.line((end.reach == Reach::opened ? "kernel link ended before it was up, trying on: "
+                                            : "kernel not reached, trying on: ") +
+                end.why);
     }
     asio::steady_timer wait(executor_, pause);
-    co_await wait.async_wait(into(error));
+    error_code ignored;
+    co_await wait.async_wait(into(ignored));
+    // Guards against a link that breaks on the same bytes again and again.
     pause = std::min<std::chrono::milliseconds>(pause * 2, kLastRetry);
   }
 }
 
-asio::awaitable<std::string> Link::serve_link(tcp::socket& socket) {
+asio::awaitable<LinkEnd> Link::attempt() {
   using namespace asio::experimental::awaitable_operators;
-  error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
+  tcp::socket socket(executor_);
+  error_code error;
+  co_await socket.async_connect(kernel_, into(error));
+  if (error) co_return LinkEnd{Reach::not_connected, error.message()};
+  socket.set_option(tcp::no_delay(true), error);
   outgoing_.clear();
   ready_ = asked_gauges_ = false;
   encode_open(ledger_.last_notice(), outgoing_);
   const auto ended = co_await (read(socket) || write(socket));
-  ready_ = false;
-  co_return ended.index() == 0 ? std::get<0>(ended) : std::string("write failed");
+  const auto reach = std::exchange(ready_, false) ? Reach::up : Reach::opened;
+  co_return LinkEnd{reach, ended.index() == 0 ? std::get<0>(ended) : std::string("write failed")};
 }
 
 asio::awaitable<void> Link::write(tcp::socket& socket) {
--- a/src/kernel/link.h
+++ b/src/kernel/link.h
@@ -40,6 +40,13 @@
   std::set<std::uint64_t> checks_;
 };
 
+// How an attempt at the link ended, and how far it had come.
+enum class Reach : std::uint8_t { not_connected, opened, up };
+struct LinkEnd {
+  Reach reach = Reach::not_connected;
+  std::string why;
+};
+
 class Link {
  public:
   using Mail = Mailbox<edge::Input>;
@@ -49,7 +56,7 @@
   void send(const edge::Command& command);
 
  private:
-  boost::asio::awaitable<std::string> serve_link(boost::asio::ip::tcp::socket& socket);
+  boost::asio::awaitable<LinkEnd> attempt();
   boost::asio::awaitable<void> write(boost::asio::ip::tcp::socket& socket);
   boost::asio::awaitable<std::string> read(boost::asio::ip::tcp::socket& socket);
   boost::asio::awaitable<void> hand_in(edge::Input input);
