SIGHUP moves the kernel link and the reports to the new configuration

Checked: src/main.cpp waited for SIGTERM and SIGINT only, so the system's default for SIGHUP ended the process. Link and Announcer took their addresses once, at the start, so a handler alone would have left the server talking to addresses that accept nothing. Changed: main re-reads EDGE_CONFIG's file on SIGHUP; Server::reload hands the new addresses on. The link closes, skips its retry pause and opens the next one with the numbers going on, and the ledger asks again for what is open; the announcer reports at once. An unusable file keeps the old configuration, in one line; what can't change while running is named in one. Until handlers stand SIGHUP is ignored.

--- a/src/announce/announcer.cpp
+++ b/src/announce/announcer.cpp
@@ -27,16 +27,24 @@
       log_(log) {}
 
 void Announcer::report(const edge::Report& report) {
-  if (!mailbox_.post(edge::Report(report))) log_.line("announce: report left out, mailbox full");
+  if (!mailbox_.post(report)) log_.line("announce: report left out, mailbox full");
 }
 
+void Announcer::move_to(const asio::ip::udp::endpoint& service) { mailbox_.post_control(service); }
+
 asio::awaitable<void> Announcer::run() {
   std::optional<edge::Report> newest;
   bool told = false;
-  auto next = Mailbox<edge::Report>::Clock::time_point::max();
+  auto next = Mailbox<Mail>::Clock::time_point::max();
   for (;;) {
-    const auto reports = co_await mailbox_.take(next);
-    if (!reports.empty()) newest = reports.back();
+    for (const auto& mail : co_await mailbox_.take(next)) {
+      if (const auto* report = std::get_if<edge::Report>(&mail)) {
+        newest = *report;
+      } else if (std::exchange(service_, std::get<1>(mail)).protocol() != service_.protocol()) {
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+      }
+    }
     if (!newest) continue;
     boost::system::error_code error;
     if (!socket_.is_open()) socket_.open(service_.protocol(), error);
@@ -46,7 +54,7 @@
     // The service may be away for a while: one line when that begins is enough.
     if (error && !std::exchange(told, true)) log_.line("announce: report not sent: " + error.message());
     if (!error) told = false;
-    next = Mailbox<edge::Report>::Clock::now() + kEvery;
+    next = Mailbox<Mail>::Clock::now() + kEvery;
   }
 }
 
--- a/src/announce/announcer.h
+++ b/src/announce/announcer.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <string>
+#include <variant>
 
 #include "edge/types.h"
 #include "log/logger.h"
@@ -18,9 +19,12 @@
             std::string name, Logger& log);
   boost::asio::awaitable<void> run();
   void report(const edge::Report& report);
+  // The service is at this address from now on, and hears the newest report at once.
+  void move_to(const boost::asio::ip::udp::endpoint& service);
 
  private:
-  Mailbox<edge::Report> mailbox_;
+  using Mail = std::variant<edge::Report, boost::asio::ip::udp::endpoint>;
+  Mailbox<Mail> mailbox_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint service_;
   std::string name_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -124,9 +124,8 @@
   c.catalog.classes = names(settings, "classes");
   c.catalog.tenants = names(settings, "orgs");
   if (c.catalog.classes.empty()) throw Bad("\"settings\" names no class");
-  std::string pairs;
-  flatten(settings, "", pairs);
-  c.parsed = parse_settings(pairs);
+  flatten(settings, "", c.settings_text);
+  c.parsed = parse_settings(c.settings_text);
   for (const auto& cls : c.parsed.settings.classes)
     c.catalog.keyed.push_back(cls.effect == Effect::once_by_key);
   return c;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -14,11 +14,13 @@
 struct Endpoint {
   std::string host;
   std::uint16_t port = 0;
+  bool operator==(const Endpoint&) const = default;
 };
 struct Limits {
   double cores = 1;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
+  bool operator==(const Limits&) const = default;
 };
 struct Config {
   std::string name;
@@ -26,6 +28,7 @@
   std::uint64_t seed = 0;
   std::chrono::milliseconds stop{};  // from the notice to leave to the kill
   Limits limits;
+  std::string settings_text;  // as path=value lines
   ParsedSettings parsed;
   edge::Catalog catalog;
 };
--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -71,7 +71,9 @@
       catalog_(catalog),
       module_(module),
       log_(log),
-      wake_(executor) {}
+      socket_(executor),
+      wake_(executor),
+      retry_(executor) {}
 
 void Link::send(const edge::Command& command) {
   if (std::holds_alternative<edge::AskGauges>(command)) {
@@ -84,11 +86,25 @@
   flush();
 }
 
+void Link::move_to(const tcp::endpoint& kernel) {
+  retry_.cancel();
+  if (std::exchange(kernel_, kernel) == kernel) return;  // a link that stands there goes on
+  moved_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
 asio::awaitable<void> Link::run() {
   auto pause = kFirstRetry;
   bool told = false;
   for (;;) {
+    moved_ = false;
     const auto end = co_await attempt();
+    if (moved_) {  // not a fault of the new address: it is tried at once and told of anew
+      pause = kFirstRetry;
+      told = false;
+      continue;
+    }
     if (end.reach == Reach::up) {
       log_.line("kernel link lost: " + end.why);
       pause = kFirstRetry;
@@ -98,30 +114,31 @@
                                             : "kernel not reached, trying on: ") +
                 end.why);
     }
-    asio::steady_timer wait(executor_, pause);
-    error_code ignored;
-    co_await wait.async_wait(into(ignored));
+    retry_.expires_after(pause);
+    error_code woken;
+    co_await retry_.async_wait(into(woken));
     // Guards against a link that breaks on the same bytes again and again.
-    pause = std::min<std::chrono::milliseconds>(pause * 2, kLastRetry);
+    pause = moved_ ? kFirstRetry : std::min<std::chrono::milliseconds>(pause * 2, kLastRetry);
   }
 }
 
 asio::awaitable<LinkEnd> Link::attempt() {
   using namespace asio::experimental::awaitable_operators;
-  tcp::socket socket(executor_);
+  socket_ = tcp::socket(executor_);
   error_code error;
-  co_await socket.async_connect(kernel_, into(error));
-  if (error) co_return LinkEnd{Reach::not_connected, error.message()};
-  socket.set_option(tcp::no_delay(true), error);
+  co_await socket_.async_connect(kernel_, into(error));
+  if (error || moved_) co_return LinkEnd{Reach::not_connected, error.message()};
+  socket_.set_option(tcp::no_delay(true), error);
   outgoing_.clear();
   ready_ = asked_gauges_ = false;
   encode_open(ledger_.last_notice(), outgoing_);
-  const auto ended = co_await (read(socket) || write(socket));
+  const auto ended = co_await (read() || write());
+  socket_.close(error);
   const auto reach = std::exchange(ready_, false) ? Reach::up : Reach::opened;
   co_return LinkEnd{reach, ended.index() == 0 ? std::get<0>(ended) : std::string("write failed")};
 }
 
-asio::awaitable<void> Link::write(tcp::socket& socket) {
+asio::awaitable<void> Link::write() {
   std::string bytes;
   for (;;) {
     error_code error;
@@ -133,17 +150,17 @@
     }
     bytes.clear();
     std::swap(bytes, outgoing_);
-    co_await asio::async_write(socket, asio::buffer(bytes), into(error));
+    co_await asio::async_write(socket_, asio::buffer(bytes), into(error));
     if (error) co_return;
   }
 }
 
-asio::awaitable<std::string> Link::read(tcp::socket& socket) {
+asio::awaitable<std::string> Link::read() {
   Reader reader;
   std::array<char, 16384> chunk;
   for (;;) {
     error_code error;
-    const auto size = co_await socket.async_read_some(asio::buffer(chunk), into(error));
+    const auto size = co_await socket_.async_read_some(asio::buffer(chunk), into(error));
     if (error) co_return error.message();
     reader.add({chunk.data(), size});
     while (auto notice = reader.next()) {
--- a/src/kernel/link.h
+++ b/src/kernel/link.h
@@ -54,11 +54,14 @@
        const edge::Catalog& catalog, Mail& module, Logger& log);
   boost::asio::awaitable<void> run();
   void send(const edge::Command& command);
+  // The kernel's address is now this one. A link elsewhere ends, the next is tried without a pause, and the
+  // ledger carries over: numbers go on and what is open is asked again.
+  void move_to(const boost::asio::ip::tcp::endpoint& kernel);
 
  private:
   boost::asio::awaitable<LinkEnd> attempt();
-  boost::asio::awaitable<void> write(boost::asio::ip::tcp::socket& socket);
-  boost::asio::awaitable<std::string> read(boost::asio::ip::tcp::socket& socket);
+  boost::asio::awaitable<void> write();
+  boost::asio::awaitable<std::string> read();
   boost::asio::awaitable<void> hand_in(edge::Input input);
   boost::asio::awaitable<void> take(Notice notice);
   void flush() { wake_.cancel(); }
@@ -70,8 +73,9 @@
   Logger& log_;
   Ledger ledger_;
   std::string outgoing_;
-  boost::asio::steady_timer wake_;
-  bool ready_ = false, asked_gauges_ = false;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer wake_, retry_;
+  bool ready_ = false, asked_gauges_ = false, moved_ = false;
 };
 
 }  // namespace granitegap::kernel
--- a/src/mailbox/mailbox.h
+++ b/src/mailbox/mailbox.h
@@ -22,6 +22,13 @@
     wake_.cancel();
     return true;
   }
+  // For what must never be lost, a connection's end or the notice to leave, and whose number its sender
+  // bounds: guards against a flood of other mail that leaves no room for it.
+  void post_control(T&& mail) {
+    if (closed_) return;
+    mail_.push_back(std::move(mail));
+    wake_.cancel();
+  }
   bool full() const { return mail_.size() >= most_; }
   bool empty() const { return mail_.empty(); }
   std::size_t size() const { return mail_.size(); }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 
 #include "server/server.h"
 
@@ -12,6 +13,8 @@
 namespace {
 
 int run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until it can be heeded: unhandled it would end the process
   const char* path = std::getenv("EDGE_CONFIG");
   if (!path) {
     std::fputs("granitegap: EDGE_CONFIG is not set\n", stderr);
@@ -22,7 +25,6 @@
     std::fprintf(stderr, "granitegap: EDGE_CONFIG %s: %s\n", path, problem->what.c_str());
     return 2;
   }
-  std::signal(SIGPIPE, SIG_IGN);
   try {
     boost::asio::io_context context(1);
     Server server(context, std::move(std::get<config::Config>(loaded)));
@@ -30,6 +32,13 @@
     notice.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) server.drain();
     });
+    boost::asio::signal_set fresh_config(context, SIGHUP);
+    std::function<void(const boost::system::error_code&, int)> reload = [&](const auto& error, int) {
+      if (error) return;
+      fresh_config.async_wait(reload);
+      server.reload(config::load(path));
+    };
+    fresh_config.async_wait(reload);
     server.start();
     context.run();
   } catch (const std::exception& e) {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -16,10 +16,15 @@
 constexpr milliseconds kCrossing = 150ms;    // a request may cross the notice on its connection for 50 ms
 constexpr milliseconds kLook = 5ms;
 
+template <class Protocol>
+typename Protocol::endpoint address(const config::Endpoint& e, boost::system::error_code& error) {
+  return {asio::ip::make_address(e.host, error), e.port};
+}
 template <class Protocol>
 typename Protocol::endpoint address(const config::Endpoint& e) {
   return {asio::ip::make_address(e.host), e.port};
 }
+std::string text_of(const config::Endpoint& e) { return e.host + ":" + std::to_string(e.port); }
 
 }  // namespace
 
@@ -76,6 +81,32 @@
   spawn(leave());
 }
 
+void Server::reload(const std::variant<config::Config, config::Problem>& loaded) {
+  if (const auto* problem = std::get_if<config::Problem>(&loaded))
+    return log_.line("reload: keeping the old configuration: " + problem->what);
+  const auto& fresh = std::get<config::Config>(loaded);
+  boost::system::error_code error;
+  const auto kernel = address<asio::ip::tcp>(fresh.kernel, error);
+  const auto service = error ? asio::ip::udp::endpoint() : address<asio::ip::udp>(fresh.announce, error);
+  if (error) return log_.line("reload: keeping the old configuration: address: " + error.message());
+  std::string fixed;
+  const auto note = [&](bool same, const char* name) {
+    if (!same) fixed.append(fixed.empty() ? "" : ", ").append(name);
+  };
+  note(fresh.name == config_.name, "name");
+  note(fresh.listen == config_.listen, "listen");
+  note(fresh.limits == config_.limits, "limits");
+  note(fresh.settings_text == config_.settings_text, "settings");
+  config_.kernel = fresh.kernel;
+  config_.announce = fresh.announce;
+  config_.stop = fresh.stop;
+  log_.line("reload: kernel at " + text_of(fresh.kernel) + ", announce service at " +
+            text_of(fresh.announce));
+  if (!fixed.empty()) log_.line("reload: changed but kept until a restart: " + fixed);
+  link_.move_to(kernel);
+  announcer_.move_to(service);
+}
+
 // Takes and answers what still comes as long as callers may not have heard; then closes the door, sees all
 // answers off and ends before the kill.
 asio::awaitable<void> Server::leave() {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <variant>
 
 #include "announce/announcer.h"
 #include "config/config.h"
@@ -19,6 +20,9 @@
   void start();
   // The notice to leave: ends the context once all is answered, before the kill.
   void drain();
+  // A new configuration while running: the kernel's and the announce service's addresses are taken over and
+  // stop_ms counts from the next notice; what else differs waits for a restart, and is named in a line.
+  void reload(const std::variant<config::Config, config::Problem>& loaded);
   boost::asio::ip::tcp::endpoint local() const { return listener_.local(); }
   edge::ModuleActor& module() { return module_; }
 
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -10,11 +10,14 @@
 //   announce < TEXT   the next report that differs from the one before
 //   advance MS        moves the clock, and has the program look at it
 //   drain, left       the notice to leave; the program has ended by itself
+//   reload            a new configuration: the kernel and the list stand at new addresses
 // Text takes the escapes \r \n \\. A proxy's bytes are `raw HEX` or a frame whose length is filled in:
 //   frame TYPE STREAM [code N] NAME=VALUE... [| BODY]      t0=@MS counts from the clock's start
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -23,6 +26,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -117,19 +122,20 @@
   return out;
 }
 
+std::string fill(std::string json, const tcp::acceptor& kernel, const udp::socket& announce) {
+  const auto put = [&](const std::string& name, unsigned port) {
+    json.replace(json.find(name), name.size(), std::to_string(port));
+  };
+  put("KERNEL", kernel.local_endpoint().port());
+  put("ANNOUNCE", announce.local_endpoint().port());
+  return json;
+}
+
 class Play {
  public:
   explicit Play(const std::filesystem::path& folder)
-      : kernel_door_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
-        announce_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
-    limit(announce_);
-    auto json = read_file(folder / "config.json");
-    const auto fill = [&](const std::string& name, unsigned port) {
-      json.replace(json.find(name), name.size(), std::to_string(port));
-    };
-    fill("KERNEL", kernel_door_.local_endpoint().port());
-    fill("ANNOUNCE", announce_.local_endpoint().port());
-    auto config = config::parse(json);
+      : folder_(folder), kernel_door_(io_, any_port<tcp>()), announce_(io_, any_port<udp>()) {
+    auto config = config::parse(json());
     REQUIRE(std::holds_alternative<config::Config>(config));
     const auto start = std::chrono::steady_clock::now() + std::chrono::hours(24);
     server_.emplace(context_, std::move(std::get<config::Config>(config)), [this, start] {
@@ -155,6 +161,13 @@
     std::getline(words >> std::ws, rest);
     if (who == "advance") return advance(std::stoll(verb));
     if (who == "drain") return asio::post(context_, [this] { server_->drain(); });
+    if (who == "reload") {
+      kernel_door_ = tcp::acceptor(io_, any_port<tcp>());
+      announce_ = udp::socket(io_, any_port<udp>());
+      last_report_.clear();
+      sockets_.erase("kernel");
+      return asio::post(context_, [this, json = json()] { server_->reload(config::parse(json)); });
+    }
     if (who == "left") {
       thread_.join();
       thread_ = std::thread([] {});
@@ -198,6 +211,14 @@
   }
 
  private:
+  template <class Protocol>
+  static typename Protocol::endpoint any_port() {
+    return {asio::ip::make_address("127.0.0.1"), 0};
+  }
+  std::string json() {
+    limit(announce_);
+    return fill(read_file(folder_ / "config.json"), kernel_door_, announce_);
+  }
   template <class Socket>
   static void limit(Socket& socket) {
     const timeval hang{kHangSeconds, 0};
@@ -224,6 +245,7 @@
     CHECK(got == expected);
   }
 
+  std::filesystem::path folder_;
   asio::io_context io_, context_{1};
   tcp::acceptor kernel_door_;
   udp::socket announce_;
@@ -235,6 +257,47 @@
   std::string last_report_;
 };
 
+// The process as the platform starts it. Guards against a signal that nothing handles, which ends it.
+TEST_CASE("SIGHUP moves the running process to a new kernel, and a bad file leaves it where it is") {
+  asio::io_context io;
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  tcp::acceptor kernel(io, any);
+  const udp::socket announce(io, udp::endpoint(any.address(), 0));
+  const auto json = read_file(std::filesystem::path(EXCHANGES) / "config.json");
+  char path[] = "/tmp/granitegap-test-XXXXXX";
+  const int fd = ::mkstemp(path);
+  REQUIRE(fd >= 0);
+  ::close(fd);
+  const auto write = [&](const std::string& text) { std::ofstream(path, std::ios::binary) << text; };
+  write(fill(json, kernel, announce));
+  const auto process = ::fork();
+  if (process == 0) {
+    ::setenv("EDGE_CONFIG", path, 1);
+    ::execl(PROGRAM, PROGRAM, nullptr);
+    ::_exit(127);
+  }
+  const auto opened = [&] {
+    auto link = kernel.accept();
+    std::string got(8, '\0');
+    asio::read(link, asio::buffer(got));
+    CHECK(got == "OPEN 0\r\n");
+    return link;
+  };
+  const auto first = opened();
+  write("{");
+  ::kill(process, SIGHUP);
+  kernel = tcp::acceptor(io, any);
+  write(fill(json, kernel, announce));
+  ::kill(process, SIGHUP);
+  ::kill(process, SIGHUP);
+  const auto second = opened();
+  ::kill(process, SIGTERM);
+  int status = 0;
+  CHECK(::waitpid(process, &status, 0) == process);
+  CHECK(status == 0);
+  std::filesystem::remove(path);
+}
+
 TEST_CASE("recorded exchanges") {
   const std::filesystem::path folder = EXCHANGES;
   std::size_t played = 0;
