Refuse unusable requests before the module, end silent connections, fail reused streams

All 97 served ones had the token of a keyed request and another body: KeyTable linked tries by class and token alone, so they followed the first one's result. Ruled out as causes of 'served': numbers known and open (turned away), unknown tenants, prio 7, -1, nan or 1e9 and two requests under one number (these ran into EINVAL and were failed). But all of those went through the module to the kernel, and each took a run's place until EINVAL came back. Lines at fault: KeyTable::arrive (no look at the body); Reader::decode_request (acct, prio, 1e12-like forms); Edge::on(Request) (t0 never compared with the clock); Peer::take (streams only checked against open ones); nothing closed a connection that brought no whole message; Peer::run and Server::drain lost PeerGone and Drain to a full mailbox; Edge::on(CommandRejected) left a token spoilt for its window by a try nobody ran. Changed: the table remembers the body's hash; fields are read in PROTOCOL's plain forms; a stamp in the future or past its due time is turned away; a stream is new once on its connection and an ambiguous one is failed; no whole message in 1.5 s, or a message that goes on for 2.5 s, ends the connection; 32 unusable requests in a row end it too; what comes after an error is dropped by the system uncopied; at the cap a finished connection goes first, then one that never spoke, then the idlest, and otherwise the new one is closed at once; control mail always gets in; the module's mailbox follows memory_mb; a held request of a reset connection goes on where a retry waits for it. Tests: bad_requests, bad_stream, keyed, silent and reset exchanges, streams and mailbox in parts_test.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -9,6 +9,7 @@
 constexpr Duration kGaugesLast = std::chrono::milliseconds(500);  // older ones say nothing of now
 constexpr Duration kSweepEvery = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxDeepChecks = 64;
+constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
 std::vector<KeyTable::Rules> key_rules(const Settings& settings) {
   std::vector<KeyTable::Rules> rules;
@@ -54,8 +55,10 @@
 // ---- What comes in ----
 
 void Edge::on(Request request) {
-  // A number names one try: a second one under it could not be told apart in the kernel's reports.
-  if (!module_ || by_rid_.count(request.rid)) return turn_away(request.from);
+  // A number names one try: a second one under it could not be told apart in the kernel's reports. And a
+  // token's result is that of the body it came with: nothing else may be served with it.
+  if (!module_ || by_rid_.count(request.rid) || untimely(request) || keys_.other_body(request))
+    return turn_away(request.from);
   const RequestId id{next_id_++};
   RequestArrived arrived;
   arrived.id = id;
@@ -69,11 +72,24 @@
   arrived.waited_unread = std::max(now_.unix - request.reached, Duration{});
   arrived.repeats = keys_.arrive(request, id, batch_);
   by_rid_.emplace(request.rid, id);
-  open_.emplace(id, Open{std::move(request), now_.steady, Work::held, false, false, arrived.repeats, {}});
+  by_peer_[request.from.peer].push_back(id);
+  open_.emplace(id,
+                Open{std::move(request), now_.steady, Work::held, false, false, false, arrived.repeats, {}});
   ++unanswered_;
   events_.emplace_back(arrived);
 }
 
+// Guards against stamps that no request of this machine can bear: in the future, or past the moment when it
+// was due its answer. Such a stamp would also move the window in which its token must not run again.
+bool Edge::untimely(const Request& request) const {
+  const auto& s = settings_.settings;
+  const auto i = std::size_t(request.cls);
+  if (request.reached > now_.unix + kClocksApart) return true;
+  if (i >= s.classes.size() || !s.classes[i].deadline) return false;
+  return now_.unix >
+         request.reached + *s.classes[i].deadline + s.answer_slack.value_or(Duration{}) + kClocksApart;
+}
+
 void Edge::on(const HealthCheck& check) {
   const bool deep = check.full && settings_.settings.deep_checks.value_or(false) && !from_store_;
   if (!module_ || !deep || deep_checks_.size() >= kMaxDeepChecks) {
@@ -92,19 +108,34 @@
 // Guards against work for a connection that can't carry its answer. What runs goes on under the module's
 // hand and its end is reported like any other.
 void Edge::on(const PeerGone& gone) {
-  std::vector<RequestId> theirs;
-  for (const auto& [id, o] : open_)
-    if (o.request.from.peer == gone.peer && !o.answered) theirs.push_back(id);
-  for (const auto id : theirs) {
-    auto& o = open_.at(id);
-    o.answered = true;
-    --unanswered_;
-    events_.emplace_back(CallerGone{id});
-    if (o.work != Work::running) end(id, KeyTable::RunState::bad, nullptr);
-  }
+  if (const auto theirs = by_peer_.extract(gone.peer))
+    for (const auto id : theirs.mapped())
+      if (auto* o = find(id); o && !o->answered) {
+        o->answered = true;
+        --unanswered_;
+        abandon(id, *o);
+      }
   std::erase_if(deep_checks_, [&](const auto& c) { return c.second.peer == gone.peer; });
 }
 
+void Edge::on(const Withdrawn& withdrawn) {
+  const auto theirs = by_peer_.find(withdrawn.from.peer);
+  if (theirs == by_peer_.end()) return;
+  for (const auto id : std::vector<RequestId>(theirs->second))
+    if (auto* o = find(id); o && !o->answered && o->request.from.stream == withdrawn.from.stream) {
+      answer(*o, Outcome::failed);
+      abandon(id, *o);
+    }
+}
+
+// Its answer is given or can't be. Held, it is over, unless another try waits for what it will be: guards
+// against a lost connection that fails the retry which came in time.
+void Edge::abandon(RequestId id, Open& o) {
+  if (!o.followers.empty()) return;
+  events_.emplace_back(CallerGone{id});
+  if (o.work != Work::running) end(id, KeyTable::RunState::bad, nullptr);
+}
+
 void Edge::on(const Drain& drain) {
   if (drain_from_) return;
   drain_from_ = now_.unix;
@@ -137,11 +168,13 @@
     case RunEnd::error:
       return finish_run(id, RunResult::error, report.took, nullptr);
     case RunEnd::moot:
+      if (!o.stopped) keys_.never_ran(o.request, id);
       return finish_run(id, RunResult::moot, report.took, nullptr);
     case RunEnd::stopped:
       break;
   }
   events_.emplace_back(RunEnded{id, RunResult::cancelled, report.took});
+  o.stopped = true;
   if (o.answered) return end(id, KeyTable::RunState::bad, nullptr);
   o.work = settings_.settings.suspend == SuspendKind::pause ? Work::paused : Work::held;
 }
@@ -151,7 +184,12 @@
   remark("kernel rejected a command for request " + rejected.rid);
   const auto it = by_rid_.find(rejected.rid);
   if (it == by_rid_.end() || rejected.kind == CommandKind::stop) return;
-  if (open_.at(it->second).work == Work::running) finish_run(it->second, RunResult::error, {}, nullptr);
+  const auto id = it->second;
+  const auto& o = open_.at(id);
+  if (o.work != Work::running) return;
+  // Guards against a token spoilt for its window by a try that the kernel never knew.
+  if (!o.stopped) keys_.never_ran(o.request, id);
+  finish_run(id, RunResult::error, {}, nullptr);
 }
 
 void Edge::on(const Gauges& gauges) {
@@ -223,7 +261,10 @@
 }
 
 void Edge::apply(const Suspend& a) {
-  if (const auto* o = find(a.id); o && o->work == Work::running) command(StopRun{o->request.rid});
+  const auto* o = find(a.id);
+  // A run that others wait for is not stopped because its own caller has gone.
+  if (o && o->work == Work::running && (!o->answered || o->followers.empty()))
+    command(StopRun{o->request.rid});
 }
 
 void Edge::apply(const Remember& a) {
@@ -304,6 +345,10 @@
   auto node = open_.extract(id);
   auto& o = node.mapped();
   by_rid_.erase(o.request.rid);
+  if (const auto theirs = by_peer_.find(o.request.from.peer); theirs != by_peer_.end()) {
+    std::erase(theirs->second, id);
+    if (theirs->second.empty()) by_peer_.erase(theirs);
+  }
   keys_.ended(o.request, id, state, result);
   keys_.leave_hold(o.request, id);
   if (!o.ran) keys_.forget(o.request, id);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -36,7 +36,7 @@
     Request request;
     TimePoint since;
     Work work = Work::held;
-    bool ran = false, answered = false;
+    bool ran = false, answered = false, stopped = false;  // stopped: a run of it was, once
     std::optional<RequestId> repeats;
     std::vector<RequestId> followers;  // repeats that wait for this one's result
   };
@@ -51,6 +51,7 @@
   void on(const UnusableRequest& request) { turn_away(request.from); }
   void on(const HealthCheck& check);
   void on(const PeerGone& gone);
+  void on(const Withdrawn& withdrawn);
   void on(const Drain& drain);
   void on(const Booted& booted);
   void on(RunReport report);
@@ -75,6 +76,8 @@
   void apply(const SkipCall& a);
 
   Open* find(RequestId id);
+  bool untimely(const Request& request) const;
+  void abandon(RequestId id, Open& o);
   void answer(Open& o, Outcome outcome, Result result = nullptr, Duration backoff = {}, bool last = false);
   void turn_away(const Origin& to);
   void end(RequestId id, KeyTable::RunState state, Result result);
@@ -96,6 +99,7 @@
   std::vector<Output> out_;
   std::map<RequestId, Open> open_;
   std::unordered_map<std::string, RequestId> by_rid_;
+  std::map<PeerId, std::vector<RequestId>> by_peer_;  // what is open, in order of arrival
   KeyTable keys_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::map<std::uint64_t, Origin> deep_checks_;
--- a/src/edge/keys.cpp
+++ b/src/edge/keys.cpp
@@ -1,6 +1,7 @@
 #include "edge/keys.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace granitegap::edge {
 namespace {
@@ -20,9 +21,15 @@
   return it == keys_.end() ? nullptr : &it->second;
 }
 
+bool KeyTable::other_body(const Request& request) const {
+  const auto* key = request.token.empty() ? nullptr : find(request);
+  return key && key->body != std::hash<std::string>{}(request.body);
+}
+
 std::optional<RequestId> KeyTable::arrive(const Request& request, RequestId id, std::uint64_t batch) {
   if (request.token.empty()) return std::nullopt;
   auto& key = keys_[{request.cls, request.token}];
+  key.body = std::hash<std::string>{}(request.body);
   std::optional<RequestId> same;
   if (key.entry && request.reached <= key.entry->until) {
     const auto holder = key.entry->holder;
@@ -68,6 +75,10 @@
   key->run->result = std::move(result);
 }
 
+void KeyTable::never_ran(const Request& request, RequestId id) {
+  if (auto* key = find(request); key && key->run && key->run->by == id) key->run.reset();
+}
+
 const KeyTable::Run* KeyTable::any_run(const Request& request) const {
   const auto* key = find(request);
   return key && key->run ? &*key->run : nullptr;
--- a/src/edge/keys.h
+++ b/src/edge/keys.h
@@ -26,12 +26,15 @@
 
   // The try that this one repeats, and from here on this one counts as held. `batch` links two tries that
   // are handled together even where neither is kept.
+  // Another body under a token in use: no try of that request, whatever its token says.
+  bool other_body(const Request& request) const;
   std::optional<RequestId> arrive(const Request& request, RequestId id, std::uint64_t batch);
   void keep(const Request& request, RequestId id, UnixTime until);
   void forget(const Request& request, RequestId id);
   void leave_hold(const Request& request, RequestId id);  // it runs now, or it is over
   void started(const Request& request, RequestId id);
   void ended(const Request& request, RequestId id, RunState state, Result result);
+  void never_ran(const Request& request, RequestId id);  // the kernel did not carry its start out
 
   // The run whose window covers this try: it must not run again.
   const Run* covering_run(const Request& request) const;
@@ -52,6 +55,7 @@
     std::optional<Entry> entry;
     std::optional<Run> run;
     std::vector<Held> held;  // in order of arrival
+    std::size_t body = 0;    // its hash, the same for all tries
   };
   using Name = std::pair<ClassId, std::string>;
   const Rules& rules(ClassId cls) const { return rules_.at(std::size_t(cls)); }
--- a/src/edge/module_actor.cpp
+++ b/src/edge/module_actor.cpp
@@ -6,8 +6,9 @@
 namespace granitegap::edge {
 namespace {
 
-// Over what all connections together may have open.
-constexpr std::size_t kMostMail = 32768;
+// A request is 4 KiB at most, so that a full mailbox takes about a quarter of the memory. Guards against a
+// flood that is read faster than it is decided on.
+constexpr std::size_t kMailPerMb = 64;
 
 }  // namespace
 
@@ -17,9 +18,9 @@
       std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())};
 }
 
-ModuleActor::ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch,
-                         Clocks clocks)
-    : mailbox_(executor, kMostMail),
+ModuleActor::ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, std::size_t memory_mb,
+                         Dispatch dispatch, Clocks clocks)
+    : mailbox_(executor, memory_mb * kMailPerMb),
       edge_(std::move(edge)),
       dispatch_(std::move(dispatch)),
       clocks_(std::move(clocks)) {}
--- a/src/edge/module_actor.h
+++ b/src/edge/module_actor.h
@@ -14,8 +14,9 @@
  public:
   using Clocks = std::function<Now()>;
   using Dispatch = std::function<void(Output)>;
-  ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, Dispatch dispatch,
-              Clocks clocks = read_clocks);
+  // `memory_mb`: what the process may use; its mail may take a part of that.
+  ModuleActor(const boost::asio::any_io_executor& executor, Edge edge, std::size_t memory_mb,
+              Dispatch dispatch, Clocks clocks = read_clocks);
   boost::asio::awaitable<void> run();
   Mailbox<Input>& mailbox() { return mailbox_; }
   // Nothing waits in the mailbox and no request waits for its answer.
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -122,6 +122,9 @@
 struct PeerGone {  // nothing can be delivered to it any more
   PeerId peer{};
 };
+struct Withdrawn {  // its answer could be read as another request's: it is failed at once
+  Origin from;
+};
 struct Drain {
   Duration until_stopped{};
 };
@@ -129,8 +132,8 @@
   Origin from;
 };
 
-using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Drain, Booted, RunReport,
-                           CommandRejected, Gauges, DeepCheckDone>;
+using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
+                           RunReport, CommandRejected, Gauges, DeepCheckDone>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -13,8 +13,9 @@
 constexpr std::size_t kMaxFrame = 262144;
 constexpr std::size_t kMaxKept = 8192;  // a whole request with its fields is well under this
 constexpr std::size_t kCompactFrom = 4096;
+constexpr std::size_t kMaxToken = 64;
 constexpr double kMaxMemoryKb = 2000;
-constexpr double kMaxCostMs = 1e9;
+constexpr double kMaxCostMs = 3.6e6;  // an hour on one core: no request is worth more
 
 std::uint32_t big_endian(std::string_view bytes) {
   std::uint32_t value = 0;
@@ -34,7 +35,15 @@
   if (error != std::errc{} || at != end) return std::nullopt;
   return value;
 }
+// Digits, and a fraction where one is due. Guards against what the language reads beyond that: signs,
+// exponents, infinities.
+bool plain_digits(std::string_view text) {
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
 std::optional<double> to_real(std::string_view text) {
+  const auto point = text.find('.');
+  if (!plain_digits(text.substr(0, point))) return std::nullopt;
+  if (point != std::string_view::npos && !plain_digits(text.substr(point + 1))) return std::nullopt;
   double value = 0;
   const auto* end = text.data() + text.size();
   const auto [at, error] = std::from_chars(text.data(), end, value);
@@ -106,6 +115,15 @@
 
 }  // namespace
 
+bool UsedStreams::take(std::uint32_t stream) {
+  if (stream <= all_up_to_ || !later_.insert(stream).second) return false;
+  while (!later_.empty() && (*later_.begin() == all_up_to_ + 1 || later_.size() > kMostApart)) {
+    all_up_to_ = *later_.begin();
+    later_.erase(later_.begin());
+  }
+  return true;
+}
+
 void Reader::add(std::string_view bytes) {
   const auto skipped = std::min(skip_, bytes.size());
   skip_ -= skipped;
@@ -179,26 +197,31 @@
       r.rid = value;
     } else if (name == "t0") {
       const auto ms = to_number<std::int64_t>(value, 10);
-      need(ms && *ms >= 0 && *ms < (std::int64_t(1) << 50), "t0");
+      need(plain_digits(value) && ms && *ms < (std::int64_t(1) << 50), "t0");
       has_time = true;
       if (!bad) r.reached = edge::UnixTime(std::chrono::milliseconds(*ms));
     } else if (name == "peer") {
       const auto number = to_number<std::uint32_t>(value, 10);
-      need(number.has_value(), "peer");
+      need(plain_digits(value) && number, "peer");
       r.caller = CallerId(number.value_or(0));
     } else if (name == "acct") {
+      // Guards against serving what is no tenant's; a site without tenants names none.
       r.tenant = catalog_->find_tenant(value);
+      need(catalog_->tenants.empty() || std::size_t(r.tenant) < catalog_->tenants.size(), "acct");
     } else if (name == "est") {
       const auto ms = to_real(value);
-      need(ms && *ms >= 0 && *ms < kMaxCostMs, "est");
+      need(ms && *ms < kMaxCostMs, "est");
       if (!bad && *ms > 0) r.cost_hint = Duration(std::llround(*ms * 1000));
     } else if (name == "mem") {
       const auto kb = to_real(value);
       need(kb && *kb > 0 && *kb < kMaxMemoryKb, "mem");
       has_memory = true;
       if (!bad) r.memory = Kilobytes(std::llround(*kb * 1000));
+    } else if (name == "prio") {
+      const auto rank = to_real(value);  // nothing here goes by it; one out of range spoils the request
+      need(rank && *rank < 1, "prio");
     } else if (name == "token") {
-      need(value.size() <= 64, "token");
+      need(!value.empty() && value.size() <= kMaxToken, "token");
       r.token = value;
     } else if (name == "obj") {
       const auto object = to_number<std::uint64_t>(value, 16);
--- a/src/frames/frames.h
+++ b/src/frames/frames.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -24,6 +25,18 @@
 };
 using Message = std::variant<edge::Request, edge::HealthCheck, BadRequest, BadStream>;
 
+// The streams a connection has carried: each is new there, open or long answered. Those taken a little out of
+// order are told apart; guards against a set that grows with the connection's life.
+class UsedStreams {
+ public:
+  bool take(std::uint32_t stream);  // false: it was used before, or lies too far behind
+
+ private:
+  static constexpr std::size_t kMostApart = 64;
+  std::uint32_t all_up_to_ = 0;
+  std::set<std::uint32_t> later_;
+};
+
 // Takes bytes as they come and gives whole messages. A frame too large to be a request is skipped as its
 // bytes arrive, so that a connection's buffer stays small whatever is sent.
 class Reader {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -15,6 +15,8 @@
 constexpr int kBacklog = 4096;
 constexpr std::size_t kOwnDescriptors = 32;  // standard streams, kernel, announce, the loop's own
 constexpr auto kAcceptRetry = 10ms;
+constexpr auto kLook = 100ms;
+constexpr auto kFresh = 100ms;  // younger connections may just not have been heard yet
 
 }  // namespace
 
@@ -23,6 +25,7 @@
     : executor_(executor),
       acceptor_(executor),
       retry_(executor),
+      look_(executor),
       most_peers_(std::max<std::size_t>(sockets, 2 * kOwnDescriptors) - kOwnDescriptors),
       catalog_(catalog),
       module_(module),
@@ -37,27 +40,39 @@
 asio::awaitable<void> Listener::run() {
   while (!door_closed_) {
     error_code error;
-    // Guards against running out of descriptors: the connection idle for longest makes room; with none idle
-    // the backlog waits.
-    if (peers_.size() >= most_peers_ && !close_idlest()) error = asio::error::no_descriptors;
+    auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
-      auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (!error) {
-        start_peer(std::move(socket));
-        continue;
-      }
+      admit(std::move(socket));
+      continue;
     }
     if (door_closed_) break;
     log_.line("accept: " + error.message());
-    if (error == asio::error::no_descriptors) close_idlest();
+    if (error == asio::error::no_descriptors) make_room();
     retry_.expires_after(kAcceptRetry);
     co_await retry_.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
 }
 
+// Guards against running out of descriptors. With no connection to spare the new one is closed at once: its
+// client goes elsewhere sooner than from a backlog that waits.
+void Listener::admit(tcp::socket socket) {
+  if (peers_.size() < most_peers_ || make_room()) return start_peer(std::move(socket));
+  log_.line("accept: closed at once, every connection is in use");
+}
+
+asio::awaitable<void> Listener::mind_peers() {
+  for (;;) {
+    look_.expires_after(kLook);
+    error_code woken;
+    co_await look_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    const auto now = Peer::Clock::now();
+    for (const auto& [id, peer] : peers_) peer->mind(now);
+  }
+}
+
 void Listener::start_peer(tcp::socket socket) {
   const edge::PeerId id{next_peer_++};
-  auto peer = std::make_shared<Peer>(std::move(socket), id, catalog_, module_, log_);
+  auto peer = std::make_shared<Peer>(std::move(socket), id, catalog_, module_, hint_, log_);
   peers_.emplace(id, peer);
   asio::co_spawn(
       executor_, [peer]() -> asio::awaitable<void> { co_await peer->run(); },
@@ -65,15 +80,32 @@
   if (door_closed_) peer->deliver(GoAway{});
 }
 
-bool Listener::close_idlest() {
-  std::shared_ptr<Peer> idlest;
-  for (const auto& [id, peer] : peers_)
-    if (peer->idle() && (!idlest || peer->last_used() < idlest->last_used())) idlest = peer;
-  if (idlest) idlest->close();
-  return idlest != nullptr;
+// One connection less, or on its way out: first one whose work is over, then one that never spoke, then the
+// one idle for longest.
+bool Listener::make_room() {
+  const auto heard_by = Peer::Clock::now() - kFresh;
+  const auto rank = [&](const Peer& p) {
+    return p.lingering() ? 3 : !p.idle() ? 0 : p.spoke() ? 1 : p.born() < heard_by ? 2 : 0;
+  };
+  std::shared_ptr<Peer> spare;
+  int best = 0;
+  std::size_t open = 0;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer->is_open()) continue;
+    ++open;
+    const int own = rank(*peer);
+    if (own > best || (own && own == best && peer->last_used() < spare->last_used())) {
+      best = own;
+      spare = peer;
+    }
+  }
+  if (open < most_peers_) return true;
+  if (spare) spare->close();
+  return spare != nullptr;
 }
 
 void Listener::deliver(const edge::Origin& to, Outgoing message) {
+  if (const auto* answer = std::get_if<edge::Answer>(&message)) hint_ = answer->hint;
   if (const auto it = peers_.find(to.peer); it != peers_.end()) it->second->deliver(std::move(message));
 }
 
@@ -90,7 +122,7 @@
   while (!error) {  // closing with connections in the backlog would reset them, requests and all
     tcp::socket socket(executor_);
     acceptor_.accept(socket, error);
-    if (!error) start_peer(std::move(socket));
+    if (!error) admit(std::move(socket));
   }
   acceptor_.close(error);
 }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -16,6 +16,7 @@
   Listener(const boost::asio::any_io_executor& executor, const boost::asio::ip::tcp::endpoint& at,
            std::size_t sockets, const edge::Catalog& catalog, Mailbox<edge::Input>& module, Logger& log);
   boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> mind_peers();  // what a connection must not keep for long
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
   void deliver(const edge::Origin& to, Outgoing message);
@@ -26,15 +27,17 @@
 
  private:
   void start_peer(boost::asio::ip::tcp::socket socket);
-  bool close_idlest();
+  bool make_room();
+  void admit(boost::asio::ip::tcp::socket socket);
   boost::asio::any_io_executor executor_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer retry_;
+  boost::asio::steady_timer retry_, look_;
   std::size_t most_peers_;
   const edge::Catalog& catalog_;
   Mailbox<edge::Input>& module_;
   Logger& log_;
   std::map<edge::PeerId, std::shared_ptr<Peer>> peers_;
+  std::optional<double> hint_;  // the newest that any answer carried
   std::uint64_t next_peer_ = 1;
   bool door_closed_ = false;
 };
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -1,5 +1,7 @@
 #include "net/peer.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -15,7 +17,14 @@
 constexpr std::size_t kMostOutgoing = 1024, kCrowdedOutgoing = 64;
 constexpr std::size_t kCrowdedBytes = 16384;
 constexpr auto kStuckAfter = std::chrono::seconds(30);
-constexpr auto kLinger = std::chrono::seconds(1);
+constexpr auto kLinger = std::chrono::seconds(3);
+constexpr std::size_t kDiscard = 1 << 20;  // in one turn of the loop
+// Well inside the 3 s in which a client that says nothing is due its close.
+constexpr auto kFirstMessage = std::chrono::milliseconds(1500);
+constexpr auto kUnreadGrace =
+    std::chrono::milliseconds(500);  // where bytes lie unread: this process was slow
+constexpr auto kWholeMessage = std::chrono::milliseconds(2500);
+constexpr int kBadInARow = int(frames::kMaxOpen);
 
 auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
@@ -29,11 +38,12 @@
 }  // namespace
 
 Peer::Peer(tcp::socket socket, edge::PeerId id, const edge::Catalog& catalog, Mailbox<edge::Input>& module,
-           Logger& log)
+           const std::optional<double>& hint, Logger& log)
     : socket_(std::move(socket)),
       id_(id),
       reader_(catalog, id),
       module_(module),
+      hint_(hint),
       log_(log),
       outbox_(socket_.get_executor(), kMostOutgoing),
       room_(socket_.get_executor()) {
@@ -50,7 +60,7 @@
     log_.line(std::string("connection dropped: ") + e.what());
   }
   close();
-  if (!open_.empty() && !module_.post(edge::PeerGone{id_})) log_.line("mailbox full: lost peer not told");
+  if (!open_.empty()) module_.post_control(edge::PeerGone{id_});
 }
 
 void Peer::close() {
@@ -60,6 +70,19 @@
   room_.cancel();
 }
 
+void Peer::mind(Clock::time_point now) {
+  if (!socket_.is_open()) return;
+  if (unsent_ > 0 && now - sending_since_ > kStuckAfter) return close();
+  if (finishing_ || crowded()) return;
+  error_code ignored;
+  const bool unread = socket_.available(ignored) > 0;
+  const bool silent = !spoke_ && now - born_ > (unread ? kFirstMessage + kUnreadGrace : kFirstMessage);
+  const bool endless = spoke_ && reader_.in_frame() && now - heard_ > kWholeMessage;
+  if (!silent && !endless) return;
+  fault(reader_.in_frame() ? "no end of a message" : "no message");
+  socket_.shutdown(tcp::socket::shutdown_receive, ignored);  // wakes the reader
+}
+
 void Peer::deliver(Outgoing message) {
   // Guards against a flood of broken frames whose sender never reads: what it is owed stays bounded.
   if (!outbox_.post(std::move(message)) && !outbox_.closed()) close();
@@ -90,66 +113,81 @@
     if (error == asio::error::eof) break;  // its answers are still owed
     if (error) co_return close();
     last_used_ = Clock::now();
+    if (!reader_.in_frame()) heard_ = last_used_;  // a message begins
     reader_.add({chunk.data(), size});
-    while (auto message = reader_.next())
+    while (auto message = reader_.next()) {
+      spoke_ = true;
+      heard_ = last_used_;
       if (!take(std::move(*message))) break;
+    }
   }
   finish();
 }
 
+// An error that belongs to no request ends the connection, once what is open on it is answered.
+bool Peer::fault(std::string why) {
+  log_.line("bad connection: " + why);
+  deliver(StreamError{std::move(why)});
+  finishing_ = true;
+  return false;
+}
+
+// Guards against two requests under one number: an answer to the one could be read as the other's, so the one
+// still open is failed and neither is served.
+bool Peer::claim(std::uint32_t stream) {
+  if (used_.take(stream)) return true;
+  if (open_.count(stream)) module_.post_control(edge::Withdrawn{{id_, stream}});
+  return fault("stream used again");
+}
+
 bool Peer::take(frames::Message message) {
   return std::visit(Overloaded{[&](edge::Request& request) {
                                  const auto stream = request.from.stream;
-                                 if (open_.count(stream)) {
-                                   // An answer to the one could be read as the other's.
-                                   log_.line("stream used again while open");
-                                   deliver(StreamError{"stream used again while open"});
-                                   finishing_ = true;
-                                   return false;
-                                 }
+                                 if (!claim(stream)) return false;
+                                 bad_in_a_row_ = 0;
                                  const bool room = open_.size() < frames::kMaxOpen;
                                  open_.insert(stream);
                                  if (!room || !module_.post(std::move(request))) turn_away(stream);
                                  return true;
                                },
                                [&](edge::HealthCheck& check) {
-                                 if (!module_.post(check)) deliver(edge::HealthAnswer{check.from, false, {}});
+                                 if (!module_.post(check))
+                                   deliver(edge::HealthAnswer{check.from, false, hint_});
                                  return true;
                                },
                                [&](frames::BadRequest& bad) {
+                                 if (!claim(bad.stream)) return false;
                                  log_.line("bad request: " + bad.why);
-                                 if (open_.insert(bad.stream).second) {
-                                   turn_away(bad.stream);
-                                   return true;
-                                 }
-                                 deliver(StreamError{bad.why});
-                                 finishing_ = true;
-                                 return false;
+                                 open_.insert(bad.stream);
+                                 turn_away(bad.stream);
+                                 // Guards against one that sends the same again as soon as it is turned away.
+                                 return ++bad_in_a_row_ < kBadInARow || fault("too many bad requests");
                                },
-                               [&](frames::BadStream& bad) {
-                                 log_.line("bad frame: " + bad.why);
-                                 deliver(StreamError{bad.why});
-                                 finishing_ = true;
-                                 return false;
-                               }},
+                               [&](frames::BadStream& bad) { return fault(std::move(bad.why)); }},
                     message);
 }
 
-// Through the module's mailbox where there is room, so that this answer too carries the current hint.
-// Guards against a reset that takes the last answers with it: closing with bytes unread sends one.
+// Guards against a reset that takes the last answers with it: closing with bytes unread sends one. What comes
+// is dropped by the system uncopied, so that a body of any size costs little.
 asio::awaitable<void> Peer::linger() {
-  std::array<char, 4096> unwanted;
+  lingering_ = true;
   asio::steady_timer limit(socket_.get_executor(), kLinger);
   limit.async_wait([self = weak_from_this()](error_code cancelled) {
     if (const auto peer = self.lock(); peer && !cancelled) peer->close();
   });
-  for (error_code error; !error && socket_.is_open();)
-    co_await socket_.async_read_some(asio::buffer(unwanted), into(error));
+  while (socket_.is_open()) {
+    error_code error;
+    co_await socket_.async_wait(tcp::socket::wait_read, into(error));
+    if (error || !socket_.is_open()) break;
+    const auto dropped = ::recv(socket_.native_handle(), nullptr, kDiscard, MSG_TRUNC | MSG_DONTWAIT);
+    if (dropped == 0 || (dropped < 0 && errno != EAGAIN && errno != EINTR)) break;
+  }
 }
 
+// Through the module's mailbox where there is room, so that this answer too carries the current hint.
 void Peer::turn_away(std::uint32_t stream) {
   if (module_.post(edge::UnusableRequest{{id_, stream}})) return;
-  deliver(edge::Answer{{id_, stream}, edge::Outcome::refused, nullptr, {}, {}, false});
+  deliver(edge::Answer{{id_, stream}, edge::Outcome::refused, nullptr, hint_, {}, false});
 }
 
 asio::awaitable<void> Peer::write() {
@@ -169,10 +207,7 @@
                  message);
     }
     unsent_ = bytes.size();
-    asio::steady_timer stuck(socket_.get_executor(), kStuckAfter);
-    stuck.async_wait([self = weak_from_this()](error_code cancelled) {
-      if (const auto peer = self.lock(); peer && !cancelled) peer->close();
-    });
+    sending_since_ = Clock::now();
     error_code error;
     co_await asio::async_write(socket_, asio::buffer(bytes), into(error));
     unsent_ = 0;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -34,7 +34,8 @@
       log_(config_.name),
       module_(
           context.get_executor(), edge::Edge(config_.parsed, config_.catalog, config_.seed),
-          [this](edge::Output output) { dispatch(std::move(output)); }, std::move(clocks)),
+          config_.limits.memory_mb, [this](edge::Output output) { dispatch(std::move(output)); },
+          std::move(clocks)),
       link_(context.get_executor(), address<asio::ip::tcp>(config_.kernel), config_.catalog,
             module_.mailbox(), log_),
       announcer_(context.get_executor(), address<asio::ip::udp>(config_.announce), config_.name, log_),
@@ -46,6 +47,7 @@
   spawn(link_.run());
   spawn(announcer_.run());
   spawn(listener_.run());
+  spawn(listener_.mind_peers());
   const auto at = local();
   log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()));
 }
@@ -77,7 +79,7 @@
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
   log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left");
-  if (!module_.mailbox().post(edge::Drain{config_.stop})) log_.line("mailbox full: drain not told");
+  module_.mailbox().post_control(edge::Drain{config_.stop});
   spawn(leave());
 }
 
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -6,9 +6,10 @@
 //   NAME > ...        bytes to the program on the client proxy's connection NAME
 //   kernel < TEXT, NAME < ...   exactly these bytes come next
 //   NAME < end        the program ends the connection
-//   NAME close        the client proxy goes
+//   NAME close, NAME reset   the client proxy goes, or its connection is reset
 //   announce < TEXT   the next report that differs from the one before
 //   advance MS        moves the clock, and has the program look at it
+//   repeat N LINE     the line N times, with # in it counting from 1
 //   drain, left       the notice to leave; the program has ended by itself
 //   reload            a new configuration: the kernel and the list stand at new addresses
 // Text takes the escapes \r \n \\. A proxy's bytes are `raw HEX` or a frame whose length is filled in:
@@ -159,6 +160,15 @@
     std::string who, verb, rest;
     words >> who >> verb;
     std::getline(words >> std::ws, rest);
+    if (who == "repeat") {
+      const auto count = std::stoi(verb);
+      for (int i = 1; i <= count; ++i) {
+        auto one = rest;
+        if (const auto at = one.find('#'); at != std::string::npos) one.replace(at, 1, std::to_string(i));
+        line(one);
+      }
+      return;
+    }
     if (who == "advance") return advance(std::stoll(verb));
     if (who == "drain") return asio::post(context_, [this] { server_->drain(); });
     if (who == "reload") {
@@ -183,7 +193,11 @@
       socket.connect(door_);
       sockets_.emplace(who, std::move(socket));
     }
-    if (verb == "close" || verb == "drop") {
+    if (verb == "reset") {  // by name: the destructor would undo the option and close in peace
+      sockets_.at(who).set_option(asio::socket_base::linger(true, 0));
+      sockets_.at(who).close();
+    }
+    if (verb == "close" || verb == "drop" || verb == "reset") {
       sockets_.erase(who);
       return;
     }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,6 +1,10 @@
 // The program's parts without sockets or real time.
 #include <doctest/doctest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include "config/config.h"
 #include "edge/edge.h"
 #include "edge/keys.h"
@@ -123,6 +127,34 @@
   }
 }
 
+// Guards against a set that grows with a connection's life, and against an answer that fits two requests.
+TEST_CASE("frames: a stream is new once, in whatever order its neighbours come") {
+  frames::UsedStreams used;
+  for (const std::uint32_t stream : {1, 3, 2, 7}) CHECK(used.take(stream));
+  for (const std::uint32_t stream : {1, 2, 3, 7, 0}) CHECK_FALSE(used.take(stream));
+  for (std::uint32_t stream = 1001; stream < 3000; stream += 2) CHECK(used.take(stream));
+  CHECK(used.take(2998));
+  CHECK_FALSE(used.take(1000));  // too far behind to tell
+  CHECK_FALSE(used.take(2999));
+}
+
+// Guards against a flood that leaves no room for the news that matters.
+TEST_CASE("mailbox: control mail gets in where other mail does not, in order") {
+  boost::asio::io_context io;
+  Mailbox<int> mailbox(io.get_executor(), 1);
+  CHECK(mailbox.post(1));
+  CHECK_FALSE(mailbox.post(2));
+  mailbox.post_control(3);
+  boost::asio::co_spawn(
+      io,
+      [&]() -> boost::asio::awaitable<void> {
+        const auto all = co_await mailbox.take();
+        CHECK(all == std::vector<int>{1, 3});
+      },
+      boost::asio::detached);
+  io.run();
+}
+
 // Guards against buffers that grow with what is sent.
 TEST_CASE("frames: an oversize request is turned away and skipped, and the next one is read") {
   edge::Catalog catalog{{"tile"}, {}, {false}};
