A rush is no slow machine: the crowd is seen by the runs that make the pace; no run read late in a drain

Checked: a log line with figures. At 0.98 s n2 left on a pace 2.60 times its best, on a crowd of 0.46 a core: the gauge was smoothed over 1 s, the pace over some ten runs, about 50 ms at this rate. Whatever came suddenly showed in the pace first. Lines at fault: on(TimerFired) and crowding() in src/balance.cpp. Now each run that enters the pace enters the newest gauge into the crowd with the same weight. Now what is read more than the grace, less 100 ms, after the notice never runs.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -54,7 +54,6 @@
 constexpr double kPersistSeconds = 3.0;  // how recent
 constexpr double kSlowed =
     2.5;  // times its best pace, for the crowd it has, at which a machine counts as slow
-constexpr double kCrowdSeconds = 1.0;          // over which the crowd on the cores is smoothed
 constexpr std::size_t kPaceRuns = 30;          // runs before a best pace means something
 constexpr Duration kOffTheList = seconds(6);   // a slow machine's stay off it, before it tries again
 constexpr int kUpdateTicks = 4;                // ticks of the host between updates
@@ -130,8 +129,8 @@
   double pace = 1;                   // time on the cores per unit of hinted work
   TimePoint last_refill, regime_since;
   bool overloaded = false;
-  double on_cores = 0;   // the gauge, smoothed
-  double best_pace = 0;  // the least that the pace has been
+  double on_cores = 0, paced_crowd = 0;  // the gauge; its mean over the runs that make up the pace
+  double best_pace = 0;                  // the least that the pace has been
   std::size_t paced_runs = 0;
   std::optional<TimePoint> off_list_until;
   std::optional<TimePoint> drain_from, stop_at;
@@ -337,7 +336,8 @@
     if (slow && unread_ratio > kDropRatio && !off_list_until) {
       off_list_until = now + kOffTheList;
       act(SetHealth{true, false});
-      log("slow: off the list for a while");
+      log("slow: off the list for a while, pace " + std::to_string(pace / best_pace) +
+          " of its best on a crowd of " + std::to_string(paced_crowd / cores) + " a core");
     } else if (off_list_until) {
       off_list_until.reset();
       newest_unread = unread_ratio = 0;
@@ -345,7 +345,9 @@
     }
   }
   // What the crowd on the cores, reading included, may by itself make of the pace: a share, and thrashing.
-  double crowding() const { return std::pow(std::max(1.0, on_cores / cores), 2); }
+  // Seen by the same runs as the pace, or a rush that the one shows before the other would read as a slow
+  // machine.
+  double crowding() const { return std::pow(std::max(1.0, paced_crowd / cores), 2); }
   // Logged only when a regime has lasted, so that a line means something to those on call.
   void note_regime() {
     if ((worst_ratio > 1) == overloaded) regime_since = now;
@@ -624,9 +626,10 @@
     std::nth_element(sorted.begin(), sorted.begin() + std::ptrdiff_t(sorted.size() / 2), sorted.end());
     c.median = std::max<Duration>(sorted[sorted.size() / 2], milliseconds(1));
     c.call_time += dur((sec(r.at_calls) - sec(c.call_time)) * kPaceGain);
-    if (r.in.cost_hint)
-      pace += kPaceGain * (std::clamp(sec(r.on_cores) / sec(*r.in.cost_hint), 0.01, 100.0) - pace);
-    if (r.in.cost_hint && warmth() >= 1 && ++paced_runs >= kPaceRuns)
+    if (!r.in.cost_hint) return;
+    pace += kPaceGain * (std::clamp(sec(r.on_cores) / sec(*r.in.cost_hint), 0.01, 100.0) - pace);
+    paced_crowd += kPaceGain * (on_cores - paced_crowd);
+    if (warmth() >= 1 && ++paced_runs >= kPaceRuns)
       best_pace = best_pace > 0 ? std::min(best_pace, pace) : pace;
   }
   // Pause: long runs make way for work worth more per expected work (heavy tails).
@@ -760,8 +763,7 @@
   void on(const TimerFired& e) {
     if (e.token != kUpdateToken) return answer_due(e.token);
     if (e.core_use && std::isfinite(*e.core_use)) core_use = std::clamp(*e.core_use, 0.0, 1.0);
-    if (e.on_cores && std::isfinite(*e.on_cores))
-      on_cores += (std::clamp(*e.on_cores, 0.0, 1e6) - on_cores) * weight_of_update(kCrowdSeconds);
+    if (e.on_cores && std::isfinite(*e.on_cores)) on_cores = std::clamp(*e.on_cores, 0.0, 1e6);
     refill_shares();
     drop_expired_entries();
     forget_quiet_callers();
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -9,6 +9,8 @@
 constexpr Duration kGaugesLast = std::chrono::milliseconds(500);  // older ones say nothing of now
 constexpr Duration kSweepEvery = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxDeepChecks = 64;
+// Before the end of the grace: the notice is heard a little after it was given.
+constexpr Duration kGraceMargin = std::chrono::milliseconds(100);
 constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
 std::vector<KeyTable::Rules> key_rules(const Settings& settings) {
@@ -73,8 +75,15 @@
   arrived.repeats = keys_.arrive(request, id, batch_);
   by_rid_.emplace(request.rid, id);
   by_peer_[request.from.peer].push_back(id);
-  open_.emplace(id,
-                Open{std::move(request), now_.steady, Work::held, false, false, false, arrived.repeats, {}});
+  open_.emplace(id, Open{std::move(request),
+                         now_.steady,
+                         Work::held,
+                         false,
+                         false,
+                         false,
+                         past_grace(),
+                         arrived.repeats,
+                         {}});
   ++unanswered_;
   events_.emplace_back(arrived);
 }
@@ -90,6 +99,13 @@
          request.reached + *s.classes[i].deadline + s.answer_slack.value_or(Duration{}) + kClocksApart;
 }
 
+// By when it is read, not by its stamp: guards against a request that waited for its connection, so that it
+// was written later than its stamp tells.
+bool Edge::past_grace() const {
+  const auto grace = settings_.settings.drain_grace.value_or(Duration{});
+  return drain_from_ && now_.unix > *drain_from_ + std::max(grace - kGraceMargin, Duration{});
+}
+
 void Edge::on(const HealthCheck& check) {
   const bool deep = check.full && settings_.settings.deep_checks.value_or(false) && !from_store_;
   if (!module_ || !deep || deep_checks_.size() >= kMaxDeepChecks) {
@@ -227,10 +243,8 @@
   if (o->work != Work::held) return;
   // The last guard of two rules, whatever the module says. No try of a request runs again within the window
   // of the one that ran; and nothing runs that reached the machine too long after the notice to leave.
-  const auto grace = settings_.settings.drain_grace.value_or(Duration{});
-  const bool too_late = drain_from_ && o->request.reached > *drain_from_ + grace;
   const auto* run = keys_.covering_run(o->request);
-  if (run || too_late) {
+  if (run || o->too_late) {
     events_.emplace_back(RunEnded{a.id, RunResult::moot, {}});
     if (run && run->state == KeyTable::RunState::good)
       answer(*o, Outcome::served, run->result);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -37,6 +37,7 @@
     TimePoint since;
     Work work = Work::held;
     bool ran = false, answered = false, stopped = false;  // stopped: a run of it was, once
+    bool too_late = false;  // read so long after the notice to leave that it must not run
     std::optional<RequestId> repeats;
     std::vector<RequestId> followers;  // repeats that wait for this one's result
   };
@@ -77,6 +78,7 @@
 
   Open* find(RequestId id);
   bool untimely(const Request& request) const;
+  bool past_grace() const;
   void abandon(RequestId id, Open& o);
   void answer(Open& o, Outcome outcome, Result result = nullptr, Duration backoff = {}, bool last = false);
   void turn_away(const Origin& to);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -454,13 +454,14 @@
     return s;
   }
   // Requests one after the other, each of so many ms on the cores, read so late.
-  void serve(int requests, Duration took, Duration unread, double on_cores) {
+  void serve(int requests, Duration took, Duration unread, double on_cores,
+             Duration update = milliseconds(20), double core_use = 1.0) {
     for (int k = 0; k < requests; ++k) {
       auto r = request(++last, 0, seconds(4));
       r.waited_unread = unread;
       i.at(at, {r});
       const auto until = at + took;
-      for (; at < until; at += milliseconds(20)) i.at(at, {TimerFired{TimerToken{0}, 1.0, on_cores, {}, {}}});
+      for (; at < until; at += update) i.at(at, {TimerFired{TimerToken{0}, core_use, on_cores, {}, {}}});
       i.at(at, {RunEnded{RequestId(last), RunResult::ok, took}});
     }
   }
@@ -493,6 +494,13 @@
   const auto said = health();
   EXPECT_EQ(std::count(said.begin(), said.end(), false), 0);
 }
+TEST_F(Slowed, ARushThatShowsInFewUpdatesIsNoReasonToLeave) {
+  serve(40, milliseconds(100), milliseconds(0), 1);
+  serve(40, milliseconds(100), milliseconds(1400), 1, milliseconds(20), 0.5);
+  serve(8, milliseconds(800), milliseconds(1400), 8, milliseconds(800), 0.5);
+  const auto said = health();
+  EXPECT_EQ(std::count(said.begin(), said.end(), false), 0);
+}
 
 }  // namespace
 }  // namespace granitegap
