Limit runs by who is on the cores now; keep credit while draining until the grace runs out

Checked: a probe that counts refusals by reason twice a second on each server. (1) A drained server said credit 0 at once: its arrivals fell from 140 to 0 in half a second and it stood idle for 2 s (core use 0.07), while the other two refused a fifth and the successor was cold. (2) When the load came over, the run limit rose from 12 to 26 on 12 cores with 2.7 a core on them, and what ended fell from 137 to 111 in half a second: core_use is a mean that lags, and under 0.92 it let the limit grow. Ruled out: memory (no refusal), the unread queue, the list's delay. Lines at fault: advertise() (`if (drain_from) credit = 0`) and cores_idle() in src/balance.cpp. Changed: credit goes to 0 only 300 ms before the grace ends, or when twice a usual run no longer fits; the list still hears at once. Cores count as idle only while fewer are on them than there are cores.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -54,10 +54,11 @@
 constexpr double kPersistSeconds = 3.0;  // how recent
 constexpr double kSlowed =
     2.5;  // times its best pace, for the crowd it has, at which a machine counts as slow
-constexpr std::size_t kPaceRuns = 30;          // runs before a best pace means something
-constexpr Duration kOffTheList = seconds(6);   // a slow machine's stay off it, before it tries again
-constexpr int kUpdateTicks = 4;                // ticks of the host between updates
-constexpr Duration kRegimeLasts = seconds(2);  // before overload is logged as begun or over
+constexpr std::size_t kPaceRuns = 30;                // runs before a best pace means something
+constexpr Duration kOffTheList = seconds(6);         // a slow machine's stay off it, before it tries again
+constexpr Duration kDrainQuiet = milliseconds(300);  // before the grace ends, callers are sent away
+constexpr int kUpdateTicks = 4;                      // ticks of the host between updates
+constexpr Duration kRegimeLasts = seconds(2);        // before overload is logged as begun or over
 constexpr int kCallTries = 3;         // tries of one call that may have had its effect, where it may repeat
 constexpr std::size_t kSamples = 21;  // runs in a class's median
 constexpr TimerToken kUpdateToken{0};
@@ -296,7 +297,9 @@
     for (const auto& [id, r] : requests) most = std::max(most, ++in_hand[r.in.caller]);
     return std::max(floor_of_pool(), active_callers() * kOvercommit * (1 + most));
   }
-  bool cores_idle() const { return core_use >= 0 && core_use < kBusyCores; }
+  // The use of the cores is a mean over some past, the crowd is now: guards against a limit that goes on
+  // growing, past where a machine thrashes, until the mean has caught up with a rush.
+  bool cores_idle() const { return core_use >= 0 && core_use < kBusyCores && on_cores < cores; }
 
   double ratio_of_worst_class() {
     double worst = std::exchange(arrival_ratio, 0);
@@ -363,7 +366,7 @@
     if (s.free_number.value_or(FreeNumber::none) != FreeNumber::credit) return;
     double credit = pool / active_callers();
     if (worst_ratio <= 1) credit = std::max(credit, 1.0);
-    if (drain_from) credit = 0;
+    if (!takes_work()) credit = 0;
     if (said >= 0 && std::abs(credit - said) < 0.02 * said) return;
     said = credit;
     act(AdvertiseCredit{credit});
@@ -746,6 +749,16 @@
       stop_work(*r);
     }
   }
+  // Callers that heed are sent away only as the grace runs out: the successor is cold or not up yet, and
+  // until then the others have no room for them. Leaves time for twice a usual run, and for the word to get
+  // round.
+  bool takes_work() const {
+    if (!drain_from) return true;
+    Duration run{};
+    for (const auto& c : classes) run = std::max(run, c.median);
+    return now + kDrainQuiet < *drain_from + s.drain_grace.value_or(Duration{}) &&
+           now + 2 * run < last_answer();
+  }
   void on(const DrainNotice& e) {
     if (drain_from) return;
     drain_from = now;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -275,6 +275,28 @@
   EXPECT_EQ(count<Refuse>(i.at(milliseconds(2301), {request(3)})), 1);
   EXPECT_EQ(count<Refuse>(i.at(milliseconds(6950), {repeat(4, 1)})), 1);
 }
+// Guards against callers sent away while others have no room for them and this one still may run their work.
+TEST(Drain, CallersKeepTheirCreditUntilTheGraceRunsOut) {
+  Instance i(roomy());  // its grace is a second
+  i.at(seconds(1), {request(1), DrainNotice{seconds(6)}});
+  i.idle(seconds(1), milliseconds(1600), 0.5);
+  EXPECT_GT(i.credit, 0);
+  i.idle(milliseconds(1600), milliseconds(1800), 0.5);
+  EXPECT_EQ(i.credit, 0);
+}
+// Guards against a limit that grows past where the machine thrashes: the mean use of the cores lags behind.
+TEST(RunLimit, GrowsOnlyWhileFewerAreOnTheCoresThanThereAreCores) {
+  const auto runs = [](double on_cores) {
+    Instance i(roomy());
+    for (std::uint32_t id = 1; id <= 12; ++id) i.at(milliseconds(id), {request(id)});
+    for (auto t = milliseconds(20); t < seconds(1); t += milliseconds(20))
+      i.at(t, {TimerFired{TimerToken{0}, 0.5, on_cores, {}, {}}});
+    return count<granitegap::Run>(i.all);
+  };
+  const int cores = int(*roomy().cores);
+  EXPECT_GT(runs(cores - 1), cores);
+  EXPECT_EQ(runs(cores), cores);
+}
 TEST(Hosts, MisuseChangesNothing) {
   Instance i(roomy());
   EXPECT_TRUE(i.at(seconds(5), {RunEnded{RequestId(9), RunResult::ok, {}},
