--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -127,6 +127,38 @@
   }
 }
 
+// Guards against a link that breaks in the middle of a notice: wherever that is, each end is told once, and
+// what the next link asks again is just what has no end yet.
+TEST_CASE("link: a break at any byte loses no notice and doubles none") {
+  const std::string notices =
+      "REAP 1 a OK 1.5 4\r\n\r\nx\n\r\nDMESG 2 a remark\r\nREAP 3 b STOPPED 2 0\r\n\r\nREAP 4 c OK 9 "
+      "2\r\nok\r\n";
+  for (std::size_t cut = 0; cut <= notices.size(); ++cut) {
+    INFO("broken after ", cut, " bytes");
+    kernel::Ledger ledger;
+    for (const char* rid : {"a", "b", "c", "d"}) ledger.note(edge::StartRun{rid, ClassId{0}, ""});
+    ledger.note(edge::StopRun{"b"});
+    std::string ended;
+    const auto read = [&](std::string_view bytes) {
+      kernel::Reader reader;  // each link has its own
+      reader.add(bytes);
+      while (const auto notice = reader.next())
+        if (ledger.take(*notice))
+          if (const auto* report = std::get_if<edge::RunReport>(&notice->what)) ended += report->rid;
+    };
+    read(std::string_view(notices).substr(0, cut));
+    const auto known = ledger.last_notice();
+    // The kernel replays what came after that; all of it here, as doubles must change nothing.
+    read("BOOTED WARM 60000\r\n" + notices);
+    CHECK(known <= 4);
+    CHECK(ended == "abc");
+    CHECK(ledger.last_notice() == 4);
+    const auto again = ledger.to_ask_again();
+    REQUIRE(again.size() == 1);
+    CHECK(std::get<edge::StartRun>(again[0]).rid == "d");
+  }
+}
+
 // Guards against a set that grows with a connection's life, and against an answer that fits two requests.
 TEST_CASE("frames: a stream is new once, in whatever order its neighbours come") {
   frames::UsedStreams used;
