Idle connections hold no buffers: one read buffer for all, and none kept after a message

Checked: each connection's reading coroutine held 4 KB, its reader kept the capacity of its last request (2 KB and more), its writer that of its last answer. The maps were ruled out: all shrink (keys by their window, timers by their due time, peers with their connection), and RSS followed descriptors, not requests. Changed: read() waits for bytes and reads them into one buffer that all share; an emptied reader gives its buffer back; the answer's bytes live for one write. A turn still takes 4 KB of one connection at most. Test: a reader with nothing unread holds no buffer; fails without the change.

--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -128,19 +128,24 @@
   const auto skipped = std::min(skip_, bytes.size());
   skip_ -= skipped;
   bytes.remove_prefix(skipped);
-  if (at_ == buffer_.size()) {
-    buffer_.clear();
-    at_ = 0;
-  } else if (at_ >= kCompactFrom) {
+  if (at_ >= kCompactFrom) {
     buffer_.erase(0, at_);
     at_ = 0;
   }
   buffer_ += bytes;
 }
 
+// Guards against connections that hold for good the room their last request took.
+void Reader::release() {
+  if (at_ < buffer_.size()) return;
+  std::string().swap(buffer_);
+  at_ = 0;
+}
+
 std::optional<Message> Reader::next() {
   if (broken_) return std::nullopt;
   const auto left = std::string_view(buffer_).substr(at_);
+  if (left.empty()) release();
   if (left.size() < kLengthBytes) return std::nullopt;
   const std::size_t length = big_endian(left.substr(0, kLengthBytes));
   if (length < kHeadBytes || length > kMaxFrame) {
--- a/src/frames/frames.h
+++ b/src/frames/frames.h
@@ -45,9 +45,11 @@
   void add(std::string_view bytes);
   std::optional<Message> next();
   // Bytes of an unfinished frame stand here when the connection ends.
+  std::size_t held_bytes() const { return buffer_.capacity(); }
   bool in_frame() const { return skip_ > 0 || at_ < buffer_.size(); }
 
  private:
+  void release();
   Message decode(std::uint8_t type, std::uint32_t stream, std::string_view payload) const;
   Message decode_request(std::uint32_t stream, std::string_view payload) const;
   const edge::Catalog* catalog_;
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -49,6 +49,7 @@
       room_(socket_.get_executor()) {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
 }
 
 asio::awaitable<void> Peer::run() {
@@ -105,11 +106,16 @@
 }
 
 asio::awaitable<void> Peer::read() {
-  std::array<char, 4096> chunk;
+  // One for all connections, filled and emptied within a turn: hundreds that ask once and stay would else
+  // hold a buffer each. Its size bounds what one connection has done for it in a turn.
+  static std::array<char, 4096> chunk;
   while (!finishing_) {
     co_await wait_for_room();
     error_code error;
-    const auto size = co_await socket_.async_read_some(asio::buffer(chunk), into(error));
+    co_await socket_.async_wait(tcp::socket::wait_read, into(error));
+    if (error || !socket_.is_open()) co_return close();
+    const auto size = socket_.read_some(asio::buffer(chunk), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) continue;
     if (error == asio::error::eof) break;  // its answers are still owed
     if (error) co_return close();
     last_used_ = Clock::now();
@@ -191,11 +197,10 @@
 }
 
 asio::awaitable<void> Peer::write() {
-  std::string bytes;
   for (;;) {
     const auto messages = co_await outbox_.take();
     if (messages.empty() && outbox_.closed()) break;
-    bytes.clear();
+    std::string bytes;  // not kept: see the reader's
     for (const auto& message : messages) {
       std::visit(Overloaded{[&](const edge::Answer& a) {
                               // The one answer of that stream: a second would find it closed.
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -187,6 +187,18 @@
   io.run();
 }
 
+// Guards against connections that ask once and stay, each with the room its request took.
+TEST_CASE("frames: a reader with nothing unread holds no buffer") {
+  edge::Catalog catalog{{"tile"}, {}, {false}};
+  frames::Reader reader(catalog, edge::PeerId{1});
+  const std::string check("\x00\x00\x00\x06\x06\x00\x00\x00\x02\x00", 10);
+  for (int i = 0; i < 100; ++i) reader.add(check);
+  int read = 0;
+  while (reader.next()) ++read;
+  CHECK(read == 100);
+  CHECK(reader.held_bytes() == std::string().capacity());
+}
+
 // Guards against buffers that grow with what is sent.
 TEST_CASE("frames: an oversize request is turned away and skipped, and the next one is read") {
   edge::Catalog catalog{{"tile"}, {}, {false}};
