Decide what to call below, when to try again and when to go on without

Need: route profiles of other installations need data from services that may hang, and nothing could call them. Change: src/deps, decisions only: gathers with budgets, shared calls, retries paid for by successes, hedges, a concurrency limit that follows latency, endpoints with ejection and slow start, outages with probes nobody waits for, a byte-bounded W-TinyLFU cache. Not wired yet; the served path is unchanged.

--- /dev/null
+++ b/src/deps/endpoints.h
@@ -0,0 +1,63 @@
+// The addresses of one dependency: which one a call goes to, and which are out for a while.
+//
+//            failures in a row                 its time is over
+//   in  ----------------------->  ejected  ----------------------> half open (one call through)
+//    ^                                ^                               |            |
+//    |  slow start: its share grows   |            it fails           |            | it succeeds
+//    +--------------------------------|-------------------------------|------------+
+//                                     +-------------------------------+
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "deps/spec.h"
+
+namespace granitegap::deps {
+
+class EndpointSet {
+ public:
+  using Index = std::uint32_t;
+  explicit EndpointSet(const DependencySpec& spec);
+
+  // Two candidates by chance, the one with the less decayed peak latency times open calls. An ejected
+  // endpoint whose time is over goes first, with one call. `not_this`: where another try of the same call is;
+  // heeded while there is any other. `random`: two numbers in [0, 1). Absent where no endpoint is left.
+  std::optional<Index> pick(TimePoint now, double random1, double random2,
+                            std::optional<Index> not_this = std::nullopt);
+  void started(Index i);
+  void succeeded(Index i, Duration took, TimePoint now);
+  void failed(Index i, TimePoint now);
+  void abandoned(Index i);              // its end is nobody's fault and tells nothing
+  void hold(Index i, TimePoint until);  // it asked to be left alone
+  // The dependency is back from an outage: all get their chance, none at full share.
+  void all_back(TimePoint now);
+  // Keeps what is known of those that stay. One that goes is picked no more, and its place is freed once its
+  // calls have ended.
+  void change(const DependencySpec& spec);
+
+  const EndpointSpec& address(Index i) const { return all_[i].address; }
+  bool ejected(Index i) const { return all_[i].state != State::in; }
+  std::size_t count_out() const;
+  std::size_t size() const { return all_.size(); }
+  std::uint32_t open(Index i) const { return all_[i].open; }
+
+ private:
+  enum class State : std::uint8_t { in, ejected, half_open, gone };
+  struct Endpoint {
+    EndpointSpec address;
+    State state = State::in;
+    std::uint32_t open = 0, in_a_row = 0, times_out = 0;
+    double peak_us = 0;  // decays towards the newest answers, jumps up at once
+    TimePoint heard{}, until{}, back_at{}, held_until{};
+    bool slow_start = false;
+  };
+  double cost(const Endpoint& e, TimePoint now) const;
+  void eject(Endpoint& e, TimePoint now);
+  std::vector<Endpoint> all_;
+  double most_ejected_ = 0.5;
+  Duration eject_for_{}, eject_most_{}, slow_start_{};
+};
+
+}  // namespace granitegap::deps
--- /dev/null
+++ b/src/deps/gatherer.cpp
@@ -0,0 +1,662 @@
+#include "deps/gatherer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace granitegap::deps {
+namespace {
+
+constexpr std::uint32_t kSamplesForTimeout = 10, kSamplesForHedge = 20;
+constexpr double kTimeoutQuantile = 0.99;
+constexpr double kFairTry =
+    1.5;  // median times a try must have had for its timeout to be held against anyone
+constexpr std::uint32_t kUsualSamples = 16;  // new ones after which what is usual is looked up anew
+constexpr Duration kUsualLasts = std::chrono::milliseconds(50);
+constexpr std::size_t kFailures = 1024;
+constexpr unsigned kTryBits = 4, kSlotBits = 24;
+
+std::uint64_t hash_of(RequestId id) { return std::uint64_t(id); }
+
+}  // namespace
+
+Gatherer::Dependency::Dependency(const DependencySpec& s)
+    : spec(s),
+      endpoints(s),
+      limit(s.least_open, s.most_open),
+      budget(s.retry_share, s.retry_burst),
+      outage(s.probe_every, s.probe_most) {}
+
+void Gatherer::Dependency::heard(Duration took, TimePoint now) {
+  latency.add(took, now);
+  ++since_usual;
+}
+
+const Gatherer::Usual& Gatherer::Dependency::usual_now(TimePoint now) {
+  if (since_usual < kUsualSamples && now - usual_at < kUsualLasts) return usual;
+  since_usual = 0;
+  usual_at = now;
+  usual.median = latency.quantile(0.5, now, kSamplesForTimeout).value_or(Duration{});
+  usual.high = latency.quantile(kTimeoutQuantile, now, kSamplesForTimeout).value_or(Duration{});
+  usual.hedge = spec.hedge_after > 0
+                    ? latency.quantile(spec.hedge_after, now, kSamplesForHedge).value_or(Duration{})
+                    : Duration{};
+  return usual;
+}
+
+Gatherer::Gatherer(std::shared_ptr<const Spec> spec, std::uint64_t seed, bool guarded)
+    : guarded_(guarded),
+      hash_seed_(mix_bits(seed + 1)),
+      random_(seed),
+      failures_(kFailures),
+      cache_(spec->cache_bytes) {
+  loaded_ = load(std::move(spec), TimePoint{});
+}
+
+std::shared_ptr<const Gatherer::Loaded> Gatherer::load(std::shared_ptr<const Spec> spec, TimePoint now) {
+  auto fresh = std::make_shared<Loaded>();
+  for (const auto& d : spec->dependencies) {
+    const auto known =
+        std::find_if(deps_.begin(), deps_.end(), [&](auto& k) { return k.spec.name == d.name; });
+    fresh->dependency.push_back(std::uint32_t(known - deps_.begin()));
+    if (known == deps_.end()) {
+      deps_.emplace_back(d);
+      continue;
+    }
+    known->spec = d;
+    known->endpoints.change(d);
+    known->limit.rebound(d.least_open, d.most_open);
+    known->budget.reset(d.retry_share, d.retry_burst);
+    known->outage.reset(d.probe_every, d.probe_most);
+  }
+  for (std::size_t g = 0; g < spec->gathers.size(); ++g) {
+    const auto& gather = spec->gathers[g];
+    const auto cls = std::size_t(gather.cls);
+    if (cls >= fresh->gather_of.size()) fresh->gather_of.resize(cls + 1, -1);
+    fresh->gather_of[cls] = std::int32_t(g);
+    auto& paths = fresh->paths.emplace_back();
+    for (const auto& part : gather.parts) {
+      auto parsed = PathTemplate::parse(part.path);
+      // Whoever reads a declaration checks its paths; one that slips through yields a part that is never
+      // there.
+      paths.push_back(std::holds_alternative<PathTemplate>(parsed) ? std::get<PathTemplate>(std::move(parsed))
+                                                                   : PathTemplate{});
+    }
+  }
+  fresh->spec = std::move(spec);
+  cache_.resize(fresh->spec->cache_bytes);
+  for (std::uint32_t d = 0; d < deps_.size(); ++d) pump(d, now);
+  return fresh;
+}
+
+void Gatherer::change(std::shared_ptr<const Spec> spec, TimePoint now) {
+  loaded_ = load(std::move(spec), now);
+}
+
+bool Gatherer::gathers(ClassId cls) const {
+  const auto i = std::size_t(cls);
+  return i < loaded_->gather_of.size() && loaded_->gather_of[i] >= 0;
+}
+
+Duration Gatherer::budget(ClassId cls) const {
+  return gathers(cls) ? loaded_->spec->gathers[std::size_t(loaded_->gather_of[std::size_t(cls)])].budget
+                      : Duration{};
+}
+
+Gatherer::Slot Gatherer::find_gather(RequestId id) const {
+  return by_request_.find(hash_of(id), [&](Slot s) { return gathers_[s].id == id; });
+}
+
+// ---- Gathers ----
+
+void Gatherer::begin(RequestId id, ClassId cls, const Facts& facts, Duration budget, bool may_call,
+                     TimePoint now) {
+  if (!gathers(cls) || find_gather(id) != kNone) return;
+  if (free_gathers_.empty()) {
+    gathers_.emplace_back();
+    free_gathers_.push_back(Slot(gathers_.size() - 1));
+  }
+  const Slot slot = free_gathers_.back();
+  free_gathers_.pop_back();
+  by_request_.put(hash_of(id), slot);
+  auto& g = gathers_[slot];
+  g.id = id;
+  g.loaded = loaded_;
+  g.which = std::size_t(loaded_->gather_of[std::size_t(cls)]);
+  const auto& spec = what(g);
+  g.began = now;
+  g.deadline = now + (guarded_ ? std::clamp(budget, Duration{}, spec.budget) : std::max(budget, Duration{}));
+  g.may_call = may_call;
+  g.over = false;
+  g.obj = facts.obj;
+  g.body.assign(facts.body);
+  g.cls.assign(facts.cls);
+  g.parts.resize(spec.parts.size());
+  for (auto& p : g.parts) p = Part{};
+  g.pending = g.parts.size();
+  if (g.pending == 0) return finish(slot, true, now);
+  for (std::uint32_t p = 0; p < g.parts.size() && !g.over; ++p)
+    if (!spec.parts[p].needs) start_part(slot, p, now);
+}
+
+void Gatherer::start_part(Slot slot, std::uint32_t number, TimePoint now) {
+  auto& g = gathers_[slot];
+  auto& part = g.parts[number];
+  const auto& spec = what(g).parts[number];
+  part.begun = true;
+  PathFacts facts{g.obj, g.body, g.cls, {}};
+  if (spec.needs)
+    if (const auto& needed = g.parts[*spec.needs].body) facts.needed = *needed;
+  path_.clear();
+  const auto d = g.loaded->dependency[spec.dependency];
+  if (!g.loaded->paths[g.which][number].fill(facts, path_) || path_.empty())
+    return settle(slot, number, spec.fallback ? PartStatus::fallback : PartStatus::absent, nullptr, {}, now);
+  part.key = key_of(d, path_, hash_seed_);
+
+  if (const auto kept = cache_.find(part.key, now);
+      kept && kept->age <= spec.fresh_for && spec.fresh_for.count() > 0)
+    return settle(slot, number, PartStatus::fresh, kept->body, kept->age, now);
+  if (!g.may_call) return ladder(slot, number, now);
+
+  // What others of the same gather need first leaves time for them: an even share of what is left for each
+  // step of the longest chain from here on.
+  const auto& parts = what(g).parts;
+  std::int64_t steps = 1;
+  for (std::size_t later = number + 1, from = number; later < parts.size(); ++later)
+    if (parts[later].needs == from) {
+      ++steps;
+      from = later;
+    }
+  part.deadline = now + (g.deadline - now) / steps;
+  if (guarded_ && spec.within.count() > 0) part.deadline = std::min(part.deadline, now + spec.within);
+  ++totals_.asked;
+  if (part.deadline <= now) return ladder(slot, number, now);
+  auto& dep = deps_[d];
+  if (guarded_) {
+    if (failed_lately(part.key, now)) return ladder(slot, number, now);
+    if (dep.outage.out()) {
+      if (dep.outage.may_probe(now)) probe(d, part.key, path_, now);
+      return ladder(slot, number, now);
+    }
+  }
+  auto flight = by_key_.find(part.key.low, [&](Slot f) { return flights_[f].key == part.key; });
+  // A probe's end nobody waits for: it may take as long as a try ever may.
+  if (flight != kNone && flights_[flight].detached) return ladder(slot, number, now);
+  const bool joins = flight != kNone;
+  if (joins) {
+    ++totals_.shared;
+  } else {
+    flight = new_flight(d, part.key);
+    flights_[flight].path = path_;
+  }
+  part.flight = flight;
+  flights_[flight].waiters.push_back({slot, number});
+  set_timer(part.deadline, TimerKind::part, slot, g.generation, number);
+  if (!joins) launch(flight, now);
+}
+
+void Gatherer::ladder(Slot slot, std::uint32_t number, TimePoint now) {
+  auto& g = gathers_[slot];
+  const auto& spec = what(g).parts[number];
+  const auto& key = g.parts[number].key;
+  if (spec.stale_for.count() > 0)
+    if (const auto kept = cache_.find(key, now); kept && kept->age <= spec.stale_for)
+      return settle(slot, number, PartStatus::stale, kept->body, kept->age, now);
+  settle(slot, number, spec.fallback ? PartStatus::fallback : PartStatus::absent, nullptr, {}, now);
+}
+
+void Gatherer::settle(Slot slot, std::uint32_t number, PartStatus status, Bytes body, Duration age,
+                      TimePoint now) {
+  auto& g = gathers_[slot];
+  auto& part = g.parts[number];
+  if (g.over || part.status != PartStatus::pending) return;
+  part.status = status;
+  part.flight = kNone;
+  part.body = std::move(body);
+  part.age = age;
+  --g.pending;
+  auto& count = status == PartStatus::fresh      ? totals_.fresh
+                : status == PartStatus::stale    ? totals_.stale
+                : status == PartStatus::fallback ? totals_.fallback
+                                                 : totals_.absent;
+  ++count;
+  const auto& specs = what(g).parts;
+  // Guards against core time spent on what can't be whole enough any more.
+  if (status == PartStatus::absent && specs[number].required) return finish(slot, false, now);
+  for (std::uint32_t next = number + 1; next < g.parts.size() && !g.over; ++next) {
+    if (specs[next].needs != number) continue;
+    if (status == PartStatus::fresh || status == PartStatus::stale)
+      start_part(slot, next, now);
+    else
+      settle(slot, next, specs[next].fallback ? PartStatus::fallback : PartStatus::absent, nullptr, {}, now);
+  }
+  if (!g.over && g.pending == 0) finish(slot, true, now);
+}
+
+void Gatherer::finish(Slot slot, bool whole_enough, TimePoint now) {
+  auto& g = gathers_[slot];
+  g.over = true;
+  for (std::uint32_t p = 0; p < g.parts.size(); ++p) {
+    leave(slot, p, now);
+    if (g.parts[p].status == PartStatus::pending) g.parts[p].status = PartStatus::absent;
+  }
+  actions_.emplace_back(GatherEnded{g.id, whole_enough});
+}
+
+// Nothing of this part is waited for any more; a call that nobody waits for is abandoned.
+void Gatherer::leave(Slot slot, std::uint32_t number, TimePoint now) {
+  auto& part = gathers_[slot].parts[number];
+  const auto flight = std::exchange(part.flight, kNone);
+  if (flight == kNone) return;
+  auto& f = flights_[flight];
+  std::erase_if(f.waiters, [&](const Waiter& w) { return w.gather == slot && w.part == number; });
+  if (!f.waiters.empty() || f.detached) return;
+  const auto d = f.dependency;
+  abandon_tries(flight);
+  free_flight(flight);
+  pump(d, now);
+}
+
+void Gatherer::abandon(RequestId id, TimePoint now) {
+  const auto slot = find_gather(id);
+  if (slot == kNone) return;
+  auto& g = gathers_[slot];
+  g.over = true;
+  for (std::uint32_t p = 0; p < g.parts.size(); ++p) leave(slot, p, now);
+  release(id);
+}
+
+std::vector<PartValue> Gatherer::parts(RequestId id) const {
+  std::vector<PartValue> values;
+  const auto slot = find_gather(id);
+  if (slot == kNone) return values;
+  const auto& g = gathers_[slot];
+  for (std::size_t p = 0; p < g.parts.size(); ++p) {
+    const auto& spec = what(g).parts[p];
+    auto& v = values.emplace_back(PartValue{spec.name, g.parts[p].status, g.parts[p].age, g.parts[p].body});
+    if (v.status == PartStatus::fallback) v.body = std::make_shared<const std::string>(*spec.fallback);
+  }
+  return values;
+}
+
+void Gatherer::release(RequestId id) {
+  const auto slot = find_gather(id);
+  if (slot == kNone) return;
+  auto& g = gathers_[slot];
+  by_request_.erase(hash_of(id), slot);
+  ++g.generation;  // timers that still name it mean nothing
+  g.loaded.reset();
+  for (auto& p : g.parts) p.body.reset();
+  free_gathers_.push_back(slot);
+}
+
+// ---- Calls ----
+
+Gatherer::Slot Gatherer::new_flight(std::uint32_t dependency, const Key& key) {
+  if (free_flights_.empty()) {
+    flights_.emplace_back();
+    free_flights_.push_back(Slot(flights_.size() - 1));
+  }
+  const Slot slot = free_flights_.back();
+  free_flights_.pop_back();
+  auto& f = flights_[slot];
+  f.dependency = dependency;
+  f.state = FlightState::calling;
+  f.key = key;
+  f.tries = {};
+  f.tried = 0;
+  f.detached = false;
+  f.used = true;
+  f.before = f.after = kNone;
+  f.waiters.clear();
+  by_key_.put(key.low, slot);
+  return slot;
+}
+
+void Gatherer::free_flight(Slot slot) {
+  auto& f = flights_[slot];
+  unqueue(slot);
+  by_key_.erase(f.key.low, slot);
+  f.used = false;
+  ++f.generation;
+  f.waiters.clear();
+  free_flights_.push_back(slot);
+}
+
+// Started at once under the limit, and queued over it while there is room. Guards against a slow dependency
+// that takes the connections and the memory of all others.
+void Gatherer::launch(Slot slot, TimePoint now) {
+  auto& f = flights_[slot];
+  auto& d = deps_[f.dependency];
+  if (!guarded_ || (d.open < d.limit.limit() && d.waiting == 0)) return start_try(slot, now);
+  if (d.waiting >= d.spec.most_waiting) {
+    ++totals_.shed;
+    return give_up(slot, now);
+  }
+  f.state = FlightState::queued;
+  f.before = d.newest;
+  (d.newest == kNone ? d.oldest : flights_[d.newest].after) = slot;
+  d.newest = slot;
+  ++d.waiting;
+}
+
+void Gatherer::unqueue(Slot slot) {
+  auto& f = flights_[slot];
+  if (f.state != FlightState::queued) return;
+  auto& d = deps_[f.dependency];
+  (f.before == kNone ? d.oldest : flights_[f.before].after) = f.after;
+  (f.after == kNone ? d.newest : flights_[f.after].before) = f.before;
+  f.before = f.after = kNone;
+  f.state = FlightState::calling;
+  --d.waiting;
+}
+
+void Gatherer::pump(std::uint32_t number, TimePoint now) {
+  auto& d = deps_[number];
+  while (d.oldest != kNone && (d.outage.out() || d.open < d.limit.limit())) {
+    const auto slot = d.oldest;
+    unqueue(slot);
+    if (d.outage.out())
+      give_up(slot, now);
+    else
+      start_try(slot, now);
+  }
+}
+
+TimePoint Gatherer::latest_deadline(const Flight& f) const {
+  TimePoint latest{};
+  for (const auto& w : f.waiters) latest = std::max(latest, gathers_[w.gather].parts[w.part].deadline);
+  return latest;
+}
+
+bool Gatherer::any_open(const Flight& f) const {
+  return std::any_of(f.tries.begin(), f.tries.end(), [](const Try& t) { return t.open; });
+}
+
+CallId Gatherer::call_id(Slot slot, std::uint32_t number) const {
+  return CallId(std::uint64_t(flights_[slot].generation) << (kTryBits + kSlotBits) |
+                std::uint64_t(slot) << kTryBits | number);
+}
+
+void Gatherer::start_try(Slot slot, TimePoint now) {
+  auto& f = flights_[slot];
+  auto& d = deps_[f.dependency];
+  std::optional<std::uint32_t> other;
+  if (f.tried > 0) other = f.tries[f.tried - 1].endpoint;
+  const auto& usual = d.usual_now(now);
+  const auto left = f.detached ? d.spec.timeout_most : latest_deadline(f) - now;
+  // Guards against calls that can't be back in time: they would only take slots from those that can.
+  const bool hopeless = !f.detached && (left.count() <= 0 || (guarded_ && left < usual.median));
+  const auto endpoint = hopeless ? std::nullopt : d.endpoints.pick(now, roll(), roll(), other);
+  if (!endpoint) {
+    if (f.detached) d.outage.probe_lost();
+    if (!any_open(f)) give_up(slot, now);
+    return;
+  }
+  auto timeout = d.spec.timeout_most;
+  if (usual.high.count() > 0 && !f.detached)
+    timeout = std::clamp(Duration(std::llround(double(usual.high.count()) * d.spec.timeout_factor)),
+                         d.spec.timeout_least, d.spec.timeout_most);
+  timeout = guarded_ ? std::min(timeout, left) : left;
+  f.state = FlightState::calling;
+  const auto number = f.tried++;
+  f.tries[number] = {*endpoint, true, now, now + timeout};
+  d.endpoints.started(*endpoint);
+  totals_.most_open = std::max(totals_.most_open, ++d.open);
+  ++totals_.calls;
+  set_timer(now + timeout, TimerKind::call, slot, f.generation, number);
+  actions_.emplace_back(StartCall{call_id(slot, number), f.dependency, *endpoint, &f.path});
+  if (!guarded_ || number > 0 || f.detached || usual.hedge.count() == 0 || usual.hedge >= timeout) return;
+  set_timer(now + usual.hedge, TimerKind::hedge, slot, f.generation, number);
+}
+
+void Gatherer::end_try(Slot slot, std::uint32_t number) {
+  auto& f = flights_[slot];
+  f.tries[number].open = false;
+  --deps_[f.dependency].open;
+}
+
+void Gatherer::abandon_tries(Slot slot) {
+  auto& f = flights_[slot];
+  for (std::uint32_t t = 0; t < f.tried; ++t) {
+    if (!f.tries[t].open) continue;
+    end_try(slot, t);
+    deps_[f.dependency].endpoints.abandoned(f.tries[t].endpoint);
+    if (f.detached) deps_[f.dependency].outage.probe_lost();
+    actions_.emplace_back(AbandonCall{call_id(slot, t)});
+  }
+}
+
+void Gatherer::note_success(Dependency& d, std::uint32_t number, TimePoint now) {
+  d.budget.succeeded(now);
+  const auto since = d.outage.since();
+  if (!d.outage.succeeded(now)) return;
+  // Back: from one call at once, doubling; all that waits at the door must not fall on it together.
+  d.limit.restart();
+  d.endpoints.all_back(now);
+  actions_.emplace_back(DependencyChanged{number, false, now - since});
+}
+
+void Gatherer::note_failure(std::uint32_t number, TimePoint now) {
+  auto& d = deps_[number];
+  d.limit.failed();
+  if (!d.outage.failed(now, roll())) return;
+  ++totals_.outages;
+  actions_.emplace_back(DependencyChanged{number, true, {}});
+}
+
+void Gatherer::ended(const CallReport& report, TimePoint now) {
+  const auto bits = std::uint64_t(report.id);
+  const auto number = std::uint32_t(bits & ((1u << kTryBits) - 1));
+  const auto slot = Slot(bits >> kTryBits & ((1u << kSlotBits) - 1));
+  // Guards against ends of calls that were given up: their slot may be another call's by now.
+  if (slot >= flights_.size() || !flights_[slot].used || number >= flights_[slot].tried ||
+      call_id(slot, number) != report.id || !flights_[slot].tries[number].open) {
+    ++totals_.late;
+    return;
+  }
+  auto& f = flights_[slot];
+  auto& d = deps_[f.dependency];
+  const auto took = std::max(now - f.tries[number].started, Duration(1));
+  if (report.fate != CallFate::ok && report.fate != CallFate::no_data) {
+    failed_try(slot, number, report.fate, true, report.retry_after, now);
+    return;
+  }
+  const auto open_then = d.open;
+  end_try(slot, number);
+  d.endpoints.succeeded(f.tries[number].endpoint, took, now);
+  d.heard(took, now);
+  if (guarded_) {
+    d.limit.succeeded(took, open_then);
+    note_success(d, f.dependency, now);
+  }
+  const auto dependency = f.dependency;
+  if (report.fate == CallFate::ok) {
+    answered(slot, report.body ? report.body : std::make_shared<const std::string>(), now);
+  } else {
+    remember_failure(f.key, now);
+    abandon_tries(slot);
+    give_up(slot, now);
+  }
+  pump(dependency, now);
+}
+
+void Gatherer::answered(Slot slot, const Bytes& body, TimePoint now) {
+  abandon_tries(slot);
+  auto& f = flights_[slot];
+  cache_.put(f.key, body, now);
+  const auto generation = f.generation;
+  while (f.used && f.generation == generation && !f.waiters.empty()) {
+    const auto w = f.waiters.back();
+    f.waiters.pop_back();
+    gathers_[w.gather].parts[w.part].flight = kNone;
+    settle(w.gather, w.part, PartStatus::fresh, body, Duration{}, now);
+  }
+  if (f.used && f.generation == generation) free_flight(slot);
+}
+
+void Gatherer::give_up(Slot slot, TimePoint now) {
+  auto& f = flights_[slot];
+  unqueue(slot);
+  const auto generation = f.generation;
+  while (f.used && f.generation == generation && !f.waiters.empty()) {
+    const auto w = f.waiters.back();
+    f.waiters.pop_back();
+    gathers_[w.gather].parts[w.part].flight = kNone;
+    ladder(w.gather, w.part, now);
+  }
+  if (f.used && f.generation == generation) free_flight(slot);
+}
+
+void Gatherer::time_out(Slot slot, std::uint32_t number, TimePoint now) {
+  auto& f = flights_[slot];
+  auto& d = deps_[f.dependency];
+  const auto waited = now - f.tries[number].started;
+  // Guards against blame for a try that was cut short by its caller's budget.
+  const bool fair =
+      f.detached || double(waited.count()) >= kFairTry * double(d.usual_now(now).median.count());
+  actions_.emplace_back(AbandonCall{call_id(slot, number)});
+  if (fair && guarded_) d.heard(waited, now);  // it takes at least this long
+  failed_try(slot, number, CallFate::too_long, fair, std::nullopt, now);
+}
+
+void Gatherer::failed_try(Slot slot, std::uint32_t number, CallFate fate, bool fair,
+                          std::optional<Duration> retry_after, TimePoint now) {
+  auto& f = flights_[slot];
+  const auto dependency = f.dependency;
+  auto& d = deps_[dependency];
+  const auto endpoint = f.tries[number].endpoint;
+  end_try(slot, number);
+  if (!fair) {
+    d.endpoints.abandoned(endpoint);
+    if (f.detached) d.outage.probe_lost();
+  } else if (fate == CallFate::busy && retry_after && guarded_) {
+    // It is well enough to say so: left alone for that long, not counted among the broken.
+    d.endpoints.abandoned(endpoint);
+    d.endpoints.hold(endpoint, now + std::clamp(*retry_after, Duration{}, d.spec.eject_most));
+    if (f.detached) d.outage.probe_lost();
+    d.limit.failed();
+  } else if (guarded_) {
+    d.endpoints.failed(endpoint, now);
+    note_failure(dependency, now);
+  } else {
+    d.endpoints.abandoned(endpoint);
+  }
+  if (!any_open(f)) after_failure(slot, now);
+  pump(dependency, now);
+}
+
+void Gatherer::after_failure(Slot slot, TimePoint now) {
+  auto& f = flights_[slot];
+  auto& d = deps_[f.dependency];
+  const auto most = std::min<std::uint32_t>(d.spec.most_tries, kMostTries);
+  if (guarded_ && !f.detached && !f.waiters.empty() && f.tried < most && !d.outage.out()) {
+    const auto grown = d.spec.retry_pause * (std::int64_t(1) << std::min(f.tried - 1, 10u));
+    const auto pause =
+        Duration(std::llround(roll() * double(std::min(grown, d.spec.retry_pause_most).count())));
+    if (now + pause + d.usual_now(now).median < latest_deadline(f) && d.budget.take(now)) {
+      ++totals_.retries;
+      f.state = FlightState::pausing;
+      return set_timer(now + std::max(pause, Duration(1)), TimerKind::retry, slot, f.generation, f.tried);
+    }
+  }
+  if (guarded_) remember_failure(f.key, now);
+  give_up(slot, now);
+}
+
+// One call at a time while a dependency is out, for which nobody waits: who asked goes on without at once,
+// and its answer, should one come, is kept for the next.
+void Gatherer::probe(std::uint32_t dependency, const Key& key, const std::string& path, TimePoint now) {
+  if (by_key_.find(key.low, [&](Slot f) { return flights_[f].key == key; }) != kNone) return;
+  const auto slot = new_flight(dependency, key);
+  flights_[slot].path = path;
+  flights_[slot].detached = true;
+  deps_[dependency].outage.probe_started();
+  ++totals_.probes;
+  start_try(slot, now);
+}
+
+bool Gatherer::failed_lately(const Key& key, TimePoint now) const {
+  const auto& f = failures_[std::size_t(key.low % kFailures)];
+  return f.key == key && now < f.until;
+}
+
+void Gatherer::remember_failure(const Key& key, TimePoint now) {
+  failures_[std::size_t(key.low % kFailures)] = {key, now + loaded_->spec->remember_failures};
+}
+
+// ---- Timers ----
+
+void Gatherer::set_timer(TimePoint at, TimerKind kind, Slot slot, std::uint32_t generation,
+                         std::uint32_t number) {
+  timers_.push_back({at, timer_order_++, kind, slot, generation, number});
+  std::push_heap(timers_.begin(), timers_.end(), std::greater<>());
+}
+
+bool Gatherer::stands(const Timer& t) const {
+  switch (t.kind) {
+    case TimerKind::part:
+      return gathers_[t.slot].generation == t.generation && gathers_[t.slot].parts[t.number].flight != kNone;
+    case TimerKind::call:
+      return flights_[t.slot].generation == t.generation && flights_[t.slot].tries[t.number].open;
+    case TimerKind::hedge:
+      return flights_[t.slot].generation == t.generation && flights_[t.slot].tries[t.number].open &&
+             flights_[t.slot].tried == t.number + 1;
+    case TimerKind::retry:
+      return flights_[t.slot].generation == t.generation && flights_[t.slot].state == FlightState::pausing;
+  }
+  return false;
+}
+
+std::optional<TimePoint> Gatherer::next_timer() {
+  while (!timers_.empty() && !stands(timers_.front())) {
+    std::pop_heap(timers_.begin(), timers_.end(), std::greater<>());
+    timers_.pop_back();
+  }
+  if (timers_.empty()) return std::nullopt;
+  return timers_.front().at;
+}
+
+void Gatherer::tick(TimePoint now) {
+  while (!timers_.empty() && timers_.front().at <= now) {
+    const auto timer = timers_.front();
+    std::pop_heap(timers_.begin(), timers_.end(), std::greater<>());
+    timers_.pop_back();
+    if (stands(timer)) fire(timer, now);
+  }
+}
+
+void Gatherer::fire(const Timer& t, TimePoint now) {
+  switch (t.kind) {
+    case TimerKind::part: {
+      // A try whose time is over at the same moment is told of first, or the budget's end would hide that the
+      // dependency hangs.
+      const auto flight = gathers_[t.slot].parts[t.number].flight;
+      const auto generation = flights_[flight].generation;
+      for (std::uint32_t i = 0; flights_[flight].generation == generation && i < flights_[flight].tried; ++i)
+        if (flights_[flight].tries[i].open && flights_[flight].tries[i].until <= now)
+          time_out(flight, i, now);
+      if (gathers_[t.slot].generation != t.generation || gathers_[t.slot].parts[t.number].flight == kNone)
+        return;
+      leave(t.slot, t.number, now);
+      return ladder(t.slot, t.number, now);
+    }
+    case TimerKind::call:
+      return time_out(t.slot, t.number, now);
+    case TimerKind::hedge: {
+      auto& d = deps_[flights_[t.slot].dependency];
+      // In the same budget as retries, and never past the limit: a hedge is a luxury.
+      if (d.outage.out() || d.waiting > 0 || d.open >= d.limit.limit() || d.spec.most_tries < 2 ||
+          !d.budget.take(now))
+        return;
+      ++totals_.hedges;
+      return start_try(t.slot, now);
+    }
+    case TimerKind::retry: {
+      auto& d = deps_[flights_[t.slot].dependency];
+      if (d.outage.out()) return give_up(t.slot, now);
+      return launch(t.slot, now);
+    }
+  }
+}
+
+}  // namespace granitegap::deps
--- /dev/null
+++ b/src/deps/gatherer.h
@@ -0,0 +1,279 @@
+// Gathers the parts that requests need from the services below: what to call, when to try again, when to go
+// on without. No socket, no clock; deterministic under its seed.
+//
+//   begin -> for each part that needs no other:
+//     kept and fresh ............................................. settled: fresh
+//     the same call is in flight ................................. waits with it
+//     failed a moment ago, dependency out or asked for quiet ..... ladder
+//     under the concurrency limit ................................ called
+//     room among those that wait ................................. waits for a slot
+//     else ....................................................... ladder
+//   ladder: kept and stale within its bound -> stale; declared default -> fallback; else absent.
+//   A part settles once; when all have, or a required one is absent, GatherEnded follows once, never later
+//   than the gather's budget.
+//
+// A call is shared by all parts that ask the same of the same dependency. Its tries: the first, a hedge, and
+// retries, all but the first paid for by RetryBudget. It ends with its first good answer, when its tries are
+// spent, or when nobody waits for it any more; what is open of it then is abandoned.
+//
+// Ownership: the actions since the last take_actions() are kept here; a StartCall's path is valid until the
+// next call of any member. A gather's parts stay until release().
+#pragma once
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "deps/endpoints.h"
+#include "deps/latency_window.h"
+#include "deps/limits.h"
+#include "deps/part_cache.h"
+#include "deps/path_template.h"
+#include "deps/slot_index.h"
+#include "deps/spec.h"
+
+namespace granitegap::deps {
+
+enum class CallId : std::uint64_t {};
+
+enum class CallFate : std::uint8_t {
+  ok,
+  no_data,      // an answer that there is none (4xx): the dependency is well
+  error,        // 5xx, or what is no HTTP
+  busy,         // 429 or 503; `retry_after` tells for how long, where it does
+  unreachable,  // no connection
+  cut_off,      // it ended in the middle
+  too_long,     // over a bound of header, body or time per byte
+};
+struct CallReport {
+  CallId id{};
+  CallFate fate{};
+  Duration took{};
+  std::optional<Duration> retry_after;
+  Bytes body;
+};
+
+struct StartCall {
+  CallId id{};
+  std::uint32_t dependency = 0, endpoint = 0;
+  const std::string* path = nullptr;
+};
+struct AbandonCall {
+  CallId id{};
+};
+struct GatherEnded {
+  RequestId id{};
+  bool whole_enough = false;  // every required part is there
+};
+struct DependencyChanged {  // for those on call
+  std::uint32_t dependency = 0;
+  bool out = false;
+  Duration after{};  // the outage lasted
+};
+using Action = std::variant<StartCall, AbandonCall, GatherEnded, DependencyChanged>;
+
+enum class PartStatus : std::uint8_t { pending, fresh, stale, fallback, absent };
+struct PartValue {
+  std::string_view name;
+  PartStatus status = PartStatus::pending;
+  Duration age{};  // since the dependency answered
+  Bytes body;
+};
+
+struct Totals {
+  std::uint64_t asked = 0;  // parts that wanted a call
+  std::uint64_t calls = 0, retries = 0, hedges = 0, probes = 0, shared = 0, shed = 0, late = 0;
+  std::uint64_t fresh = 0, stale = 0, fallback = 0, absent = 0, outages = 0;
+  std::uint32_t most_open = 0;
+};
+
+class Gatherer {
+ public:
+  // `guarded` false: the plain policy that measurements compare with: one try, no limit, no breaker, no
+  // timeout but the budget's end.
+  Gatherer(std::shared_ptr<const Spec> spec, std::uint64_t seed, bool guarded = true);
+  bool gathers(ClassId cls) const;
+  Duration budget(ClassId cls) const;
+
+  struct Facts {
+    std::uint64_t obj = 0;
+    std::string_view body, cls;
+  };
+  // `may_call` false: only what is kept or declared.
+  void begin(RequestId id, ClassId cls, const Facts& facts, Duration budget, bool may_call, TimePoint now);
+  void abandon(RequestId id, TimePoint now);  // no GatherEnded follows
+  void ended(const CallReport& report, TimePoint now);
+  void tick(TimePoint now);
+  std::optional<TimePoint> next_timer();
+
+  std::span<const Action> actions() const { return actions_; }
+  void clear_actions() { actions_.clear(); }
+  // By its id, from begin() to release(); names point into the spec in force at begin().
+  std::vector<PartValue> parts(RequestId id) const;
+  void release(RequestId id);
+
+  // A new declaration. Calls in flight go on, gathers keep the one they began under, and what is known of
+  // dependencies and endpoints that stay is kept.
+  void change(std::shared_ptr<const Spec> spec, TimePoint now);
+
+  const EndpointSpec& address(std::uint32_t dependency, std::uint32_t endpoint) const {
+    return deps_[dependency].endpoints.address(endpoint);
+  }
+  const DependencySpec& dependency(std::uint32_t i) const { return deps_[i].spec; }
+  const Totals& totals() const { return totals_; }
+  std::uint32_t open_calls(std::uint32_t dependency) const { return deps_[dependency].open; }
+  std::uint32_t limit(std::uint32_t dependency) const { return deps_[dependency].limit.limit(); }
+  bool out(std::uint32_t dependency) const { return deps_[dependency].outage.out(); }
+  std::size_t open_gathers() const { return by_request_.size(); }
+  std::size_t open_flights() const { return by_key_.size(); }
+
+ private:
+  using Slot = SlotIndex::Slot;
+  static constexpr Slot kNone = SlotIndex::kNone;
+  static constexpr std::size_t kMostTries = 4;
+
+  struct Loaded {  // a spec, made ready
+    std::shared_ptr<const Spec> spec;
+    std::vector<std::uint32_t> dependency;         // the spec's number -> ours
+    std::vector<std::vector<PathTemplate>> paths;  // by gather and part
+    std::vector<std::int32_t> gather_of;           // by class; -1: none
+  };
+  struct Part {
+    PartStatus status = PartStatus::pending;
+    bool begun = false;
+    Slot flight = kNone;
+    TimePoint deadline{};
+    Key key;
+    Duration age{};
+    Bytes body;
+  };
+  struct Gather {
+    RequestId id{};
+    std::uint32_t generation = 0;
+    std::shared_ptr<const Loaded> loaded;
+    std::size_t which = 0;  // of the spec's gathers
+    std::size_t pending = 0;
+    TimePoint began{}, deadline{};
+    bool may_call = true, over = false;
+    std::uint64_t obj = 0;
+    std::string body, cls;
+    std::vector<Part> parts;
+  };
+  struct Waiter {
+    Slot gather = kNone;
+    std::uint32_t part = 0;
+  };
+  struct Try {
+    std::uint32_t endpoint = 0;
+    bool open = false;
+    TimePoint started{}, until{};
+  };
+  enum class FlightState : std::uint8_t { queued, calling, pausing };
+  struct Flight {
+    std::uint32_t generation = 0, dependency = 0;
+    FlightState state = FlightState::queued;
+    Key key;
+    std::string path;
+    std::array<Try, kMostTries> tries;
+    std::uint32_t tried = 0;
+    bool detached = false;  // a probe, for which nobody waits
+    bool used = false;
+    Slot before = kNone, after = kNone;  // among those that wait for a slot
+    std::vector<Waiter> waiters;
+  };
+  struct Usual {  // of the recent latencies; zero where too few are known
+    Duration median{}, high{}, hedge{};
+  };
+  struct Dependency {
+    explicit Dependency(const DependencySpec& s);
+    DependencySpec spec;
+    EndpointSet endpoints;
+    ConcurrencyLimit limit;
+    RetryBudget budget;
+    Outage outage;
+    LatencyWindow latency;
+    Usual usual;
+    TimePoint usual_at{};
+    std::uint32_t since_usual = 0;
+    void heard(Duration took, TimePoint now);
+    const Usual& usual_now(TimePoint now);
+    std::uint32_t open = 0, waiting = 0;
+    Slot oldest = kNone, newest = kNone;  // of those that wait
+  };
+  struct Failure {
+    Key key;
+    TimePoint until{};
+  };
+  enum class TimerKind : std::uint8_t { part, call, hedge, retry };
+  struct Timer {
+    TimePoint at;
+    std::uint64_t order;
+    TimerKind kind;
+    Slot slot;
+    std::uint32_t generation, number;
+    bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+
+  std::shared_ptr<const Loaded> load(std::shared_ptr<const Spec> spec, TimePoint now);
+  const GatherSpec& what(const Gather& g) const { return g.loaded->spec->gathers[g.which]; }
+  Slot find_gather(RequestId id) const;
+  double roll() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  void set_timer(TimePoint at, TimerKind kind, Slot slot, std::uint32_t generation, std::uint32_t number);
+  bool stands(const Timer& t) const;
+  void fire(const Timer& t, TimePoint now);
+
+  void start_part(Slot gather, std::uint32_t part, TimePoint now);
+  void ladder(Slot gather, std::uint32_t part, TimePoint now);
+  void settle(Slot gather, std::uint32_t part, PartStatus status, Bytes body, Duration age, TimePoint now);
+  void finish(Slot gather, bool whole_enough, TimePoint now);
+  void leave(Slot gather, std::uint32_t part, TimePoint now);
+
+  Slot new_flight(std::uint32_t dependency, const Key& key);
+  void launch(Slot flight, TimePoint now);
+  void start_try(Slot flight, TimePoint now);
+  void end_try(Slot flight, std::uint32_t number);
+  void failed_try(Slot flight, std::uint32_t number, CallFate fate, bool fair,
+                  std::optional<Duration> retry_after, TimePoint now);
+  void time_out(Slot flight, std::uint32_t number, TimePoint now);
+  void after_failure(Slot flight, TimePoint now);
+  void answered(Slot flight, const Bytes& body, TimePoint now);
+  void give_up(Slot flight, TimePoint now);
+  void abandon_tries(Slot flight);
+  void free_flight(Slot flight);
+  void unqueue(Slot flight);
+  void pump(std::uint32_t dependency, TimePoint now);
+  void probe(std::uint32_t dependency, const Key& key, const std::string& path, TimePoint now);
+  void note_success(Dependency& d, std::uint32_t number, TimePoint now);
+  void note_failure(std::uint32_t number, TimePoint now);
+  TimePoint latest_deadline(const Flight& f) const;
+  bool any_open(const Flight& f) const;
+  bool failed_lately(const Key& key, TimePoint now) const;
+  void remember_failure(const Key& key, TimePoint now);
+  CallId call_id(Slot flight, std::uint32_t number) const;
+
+  bool guarded_;
+  std::uint64_t hash_seed_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const Loaded> loaded_;
+  std::deque<Dependency> deps_;
+  std::deque<Gather> gathers_;
+  std::deque<Flight> flights_;
+  std::vector<Slot> free_gathers_, free_flights_;
+  SlotIndex by_request_, by_key_;
+  std::vector<Timer> timers_;  // a heap
+  std::uint64_t timer_order_ = 0;
+  std::vector<Failure> failures_;  // direct-mapped: a newer failure may push an older one out
+  std::vector<Action> actions_;
+  std::string path_;  // being filled in
+  PartCache cache_;
+  Totals totals_;
+};
+
+}  // namespace granitegap::deps
--- /dev/null
+++ b/src/deps/part_cache.cpp
@@ -0,0 +1,170 @@
+#include "deps/part_cache.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace granitegap::deps {
+namespace {
+
+constexpr std::size_t kEntryBytes = 160;  // an entry's own: its slot, index and the string's head
+constexpr double kWindowShare = 0.01, kProtectedShare = 0.8;
+constexpr std::size_t kUsualEntry = 1024;  // by which the sketch is sized
+constexpr unsigned kRows = 4;
+constexpr std::uint8_t kMostCount = 15;
+
+}  // namespace
+
+Key key_of(std::size_t dependency, std::string_view path, std::uint64_t seed) {
+  const auto hash = XXH3_128bits_withSeed(path.data(), path.size(), seed ^ mix_bits(dependency + 1));
+  return {hash.high64, hash.low64};
+}
+
+FrequencySketch::FrequencySketch(std::size_t counters)
+    : nibbles_(std::bit_ceil(std::max<std::size_t>(counters, 64)) * kRows),
+      mask_(nibbles_.size() / kRows - 1) {}
+
+std::size_t FrequencySketch::slot(const Key& key, unsigned row) const {
+  return std::size_t(mix_bits(key.low + row * key.high) & mask_) * kRows + row;
+}
+
+void FrequencySketch::note(const Key& key) {
+  const auto least = estimate(key);
+  if (least < kMostCount)
+    for (unsigned row = 0; row < kRows; ++row)
+      if (auto& n = nibbles_[slot(key, row)]; n == least) ++n;  // conservative update: fewer overcounts
+  if (++samples_ < 10 * (mask_ + 1)) return;
+  for (auto& n : nibbles_) n /= 2;  // what was popular long ago must not rule for good
+  samples_ /= 2;
+}
+
+std::uint32_t FrequencySketch::estimate(const Key& key) const {
+  std::uint8_t least = kMostCount;
+  for (unsigned row = 0; row < kRows; ++row) least = std::min(least, nibbles_[slot(key, row)]);
+  return least;
+}
+
+PartCache::PartCache(std::size_t most_bytes) : most_(most_bytes), sketch_(most_bytes / kUsualEntry * 4) {}
+
+void PartCache::resize(std::size_t most_bytes) {
+  most_ = most_bytes;
+  settle();
+}
+
+std::size_t PartCache::cost(const Entry& e) { return kEntryBytes + (e.body ? e.body->capacity() : 0); }
+
+void PartCache::unlink(Index i) {
+  auto& e = entries_[i];
+  auto& list = lists_[e.where];
+  (e.before == kNone ? list.newest : entries_[e.before].after) = e.after;
+  (e.after == kNone ? list.oldest : entries_[e.after].before) = e.before;
+  list.bytes -= cost(e);
+}
+
+void PartCache::push(Index i, Where where) {
+  auto& e = entries_[i];
+  auto& list = lists_[where];
+  e.where = where;
+  e.before = kNone;
+  e.after = list.newest;
+  (list.newest == kNone ? list.oldest : entries_[list.newest].before) = i;
+  list.newest = i;
+  list.bytes += cost(e);
+}
+
+void PartCache::drop(Index i) {
+  unlink(i);
+  auto& e = entries_[i];
+  bytes_ -= cost(e);
+  --size_;
+  index_.erase(e.key.low, i);
+  e.body.reset();
+  e.where = kFree;
+  free_.push_back(i);
+}
+
+std::optional<PartCache::Found> PartCache::find(const Key& key, TimePoint now) {
+  sketch_.note(key);
+  const auto i = lookup(key);
+  if (i == kNone) return std::nullopt;
+  const auto where = entries_[i].where;
+  unlink(i);
+  push(i, where == kWindow ? kWindow : kProtected);
+  // Used ones beyond the protected share go back on probation, oldest first.
+  const auto share = std::size_t(double(most_) * kProtectedShare);
+  while (lists_[kProtected].bytes > share && lists_[kProtected].oldest != i) {
+    const auto back = lists_[kProtected].oldest;
+    unlink(back);
+    push(back, kProbation);
+  }
+  const auto& e = entries_[i];
+  return Found{e.body, std::max(now - e.stored, Duration{})};
+}
+
+void PartCache::put(const Key& key, Bytes body, TimePoint now) {
+  if (!body) return;
+  auto i = lookup(key);
+  if (i != kNone) {
+    const auto where = entries_[i].where;
+    unlink(i);
+    bytes_ -= cost(entries_[i]);
+    entries_[i].body = std::move(body);
+    entries_[i].stored = now;
+    bytes_ += cost(entries_[i]);
+    push(i, where);
+    return settle();
+  }
+  if (free_.empty()) {
+    entries_.emplace_back();
+    free_.reserve(entries_.capacity());
+    free_.push_back(Index(entries_.size() - 1));
+  }
+  i = free_.back();
+  free_.pop_back();
+  auto& e = entries_[i];
+  e.key = key;
+  e.body = std::move(body);
+  e.stored = now;
+  bytes_ += cost(e);
+  ++size_;
+  index_.put(key.low, i);
+  push(i, kWindow);
+  settle();
+}
+
+// The window overflows into the main part as long as that has room; after that a newcomer must have been
+// asked for more often than the oldest on probation, or it goes itself.
+void PartCache::settle() {
+  const auto window =
+      std::max(std::size_t(double(most_) * kWindowShare), std::min(most_, kEntryBytes + kUsualEntry));
+  while (lists_[kWindow].bytes > window && lists_[kWindow].oldest != kNone) {
+    const auto candidate = lists_[kWindow].oldest;
+    unlink(candidate);
+    push(candidate, kProbation);
+    while (bytes_ > most_) {
+      auto victim = lists_[kProbation].oldest;
+      if (victim == candidate) victim = lists_[kProtected].oldest;
+      if (victim == kNone) {
+        drop(candidate);
+        break;
+      }
+      const bool wins = sketch_.estimate(entries_[candidate].key) > sketch_.estimate(entries_[victim].key);
+      drop(wins ? victim : candidate);
+      if (!wins) break;
+    }
+  }
+  while (bytes_ > most_) {
+    const auto victim = lists_[kProbation].oldest != kNone   ? lists_[kProbation].oldest
+                        : lists_[kProtected].oldest != kNone ? lists_[kProtected].oldest
+                                                             : lists_[kWindow].oldest;
+    if (victim == kNone) return;
+    drop(victim);
+  }
+}
+
+PartCache::Index PartCache::lookup(const Key& key) const {
+  return index_.find(key.low, [&](Index i) { return entries_[i].key == key; });
+}
+
+}  // namespace granitegap::deps
--- /dev/null
+++ b/src/deps/part_cache.h
@@ -0,0 +1,88 @@
+// Kept answers of dependencies, bounded in bytes: W-TinyLFU.
+//
+// New answers enter a small window (recency). What falls out of it is admitted to the main part only if a
+// frequency sketch has seen its key more often than the one it would push out, so that one scan of keys asked
+// for once leaves the rest where it is. The main part is a segmented LRU: probation, then protected.
+// Measured against a plain LRU map in bench/; see docs/dependencies.md.
+#pragma once
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "deps/slot_index.h"
+#include "granitegap/policy.h"
+
+namespace granitegap::deps {
+
+using Bytes = std::shared_ptr<const std::string>;
+
+// 128 bits of a seeded hash: two paths under one key are not expected in the life of a machine.
+struct Key {
+  std::uint64_t high = 0, low = 0;
+  bool operator==(const Key&) const = default;
+};
+Key key_of(std::size_t dependency, std::string_view path, std::uint64_t seed);
+
+// How often a key was asked for lately: four rows of 4-bit counters, halved after ten times as many samples
+// as there are counters in a row.
+class FrequencySketch {
+ public:
+  explicit FrequencySketch(std::size_t counters);
+  void note(const Key& key);
+  std::uint32_t estimate(const Key& key) const;
+
+ private:
+  std::size_t slot(const Key& key, unsigned row) const;
+  std::vector<std::uint8_t> nibbles_;  // one a byte: small enough, and simpler
+  std::size_t mask_;
+  std::size_t samples_ = 0;
+};
+
+class PartCache {
+ public:
+  explicit PartCache(std::size_t most_bytes);
+  struct Found {
+    Bytes body;
+    Duration age{};
+  };
+  // Counts as a use. Absent where nothing is kept; how old is too old, the caller says.
+  std::optional<Found> find(const Key& key, TimePoint now);
+  void put(const Key& key, Bytes body, TimePoint now);
+  std::size_t bytes() const { return bytes_; }
+  std::size_t size() const { return size_; }
+  void resize(std::size_t most_bytes);
+
+ private:
+  using Index = std::uint32_t;
+  static constexpr Index kNone = ~Index(0);
+  enum Where : std::uint8_t { kWindow, kProbation, kProtected, kLists, kFree };
+  struct Entry {
+    Key key;
+    Bytes body;
+    TimePoint stored{};
+    Index before = kNone, after = kNone;
+    Where where = kFree;
+  };
+  struct List {
+    Index newest = kNone, oldest = kNone;
+    std::size_t bytes = 0;
+  };
+  static std::size_t cost(const Entry& e);
+  void unlink(Index i);
+  void push(Index i, Where where);
+  void drop(Index i);
+  void settle();
+  Index lookup(const Key& key) const;
+
+  std::size_t most_, bytes_ = 0, size_ = 0;
+  std::array<List, kLists> lists_;
+  std::vector<Entry> entries_;
+  std::vector<Index> free_;
+  SlotIndex index_;
+  FrequencySketch sketch_;
+};
+
+}  // namespace granitegap::deps
--- /dev/null
+++ b/src/deps/path_template.h
@@ -0,0 +1,38 @@
+// A part's path with its placeholders, parsed once and filled in for each call.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace granitegap::deps {
+
+struct PathFacts {
+  std::uint64_t obj = 0;  // what a read is about
+  std::string_view body, cls, needed;
+};
+
+class PathTemplate {
+ public:
+  struct Bad {
+    std::string why;
+    std::size_t at = 0;  // byte in the text
+  };
+  static std::variant<PathTemplate, Bad> parse(std::string_view text);
+  // Appends; whatever is filled in is percent-encoded, so that no request can end its path, name another host
+  // or add a header. False where it grows over `most` bytes.
+  bool fill(const PathFacts& facts, std::string& to, std::size_t most = 2048) const;
+  bool uses_needed() const;
+
+ private:
+  enum class Hole : std::uint8_t { none, obj, body, cls, needed };
+  struct Piece {
+    std::string literal;
+    Hole hole = Hole::none;
+  };
+  std::vector<Piece> pieces_;
+};
+
+}  // namespace granitegap::deps
