--- /dev/null
+++ b/deploy/operator.schema.cue
@@ -0,0 +1,83 @@
+// What an operator's file may declare, in its own form; docs/operators-file.md explains it. Built into the
+// program: `granitegap check FILE` holds a file against it.
+
+#Dependency: {
+	// What stands in Host. Nothing is looked up.
+	name: strings.MinRunes(1) & strings.MaxRunes(253)
+	// Numeric addresses with ports: "127.0.0.1:9001", "[::1]:9001".
+	endpoints: list.MinItems(1) & list.MaxItems(64) & [...string]
+
+	// A try may take timeout_factor times the 99th centile of recent answers, between these two, and never more
+	// than the time left.
+	timeout_least:  duration & >=1ms & <=60s | *10ms
+	timeout_most:   duration & >=1ms & <=60s | *1s
+	timeout_factor: >=1 & <=20 | *3
+
+	// Tries of one call, and what pays for those beyond the first: a share of recent successes.
+	most_tries:       int & >=1 & <=4 | *3
+	retry_share:      >=0 & <=1 | *0.1
+	retry_burst:      >=0 & <=1000 | *10
+	retry_pause:      duration & >=1ms & <=10s | *10ms
+	retry_pause_most: duration & >=1ms & <=60s | *250ms
+	// The quantile of recent answers after which a second try starts; 0: never.
+	hedge_after: >=0 & <1 | *0.95
+
+	// Bounds of the concurrency limit, and of the calls that wait for it.
+	least_open:   int & >=1 & <=1024 | *2
+	most_open:    int & >=1 & <=1024 | *64
+	most_waiting: int & >=0 & <=4096 | *128
+
+	// Endpoints that fail in a row are out for a while, longer each time; this share of them at most.
+	most_ejected: >=0 & <=1 | *0.5
+	eject_for:    duration & >=10ms & <=60s | *500ms
+	eject_most:   duration & >=10ms & <=600s | *30s
+	slow_start:   duration & >=0ms & <=60s | *2s
+
+	// While all of it is out: the pause between probes, growing.
+	probe_every: duration & >=10ms & <=60s | *100ms
+	probe_most:  duration & >=10ms & <=60s | *1s
+
+	// Bounds of an answer, of silence within it, and of the connections kept.
+	most_answer: size & >=1B & <=128KiB | *64KiB
+	most_header: size & >=256B & <=64KiB | *8KiB
+	quiet_most:  duration & >=1ms & <=60s | *1s
+	idle_most:   duration & >=0ms & <=600s | *20s
+	most_idle:   int & >=0 & <=256 | *16
+}
+
+#Part: {
+	name: strings.MinRunes(1) & strings.MaxRunes(64)
+	// The name of a dependency above.
+	from: strings.MinRunes(1)
+	// May hold {obj}, {body}, {class} and, with needs, {needed}.
+	path: strings.MinRunes(1) & strings.MaxRunes(1024)
+	// A request whose required part can't be had is failed before it takes core time.
+	required: bool | *false
+	// The name of an earlier part of the same gather.
+	needs?: strings.MinRunes(1)
+	// Of the gather's budget; 0ms: all of it.
+	within: duration & >=0ms & <=60s | *0ms
+	// Ages up to which a kept answer is as good as new, and better than none.
+	fresh_for: duration & >=0ms & <=24h | *0ms
+	stale_for: duration & >=0ms & <=168h | *0ms
+	default?:  strings.MaxRunes(65536)
+}
+
+#Gather: {
+	// A class of the platform's settings.
+	class:  strings.MinRunes(1)
+	budget: duration & >=1ms & <=60s | *400ms
+	parts:  list.MinItems(1) & list.MaxItems(32) & [...#Part]
+}
+
+#Operator: {
+	version: 1
+	dependencies: list.MaxItems(64) & [...#Dependency]
+	gathers:      list.MaxItems(64) & [...#Gather]
+	// Of kept answers.
+	cache: size & >=0B & <=1GiB | *4MiB
+	// How long a call that failed is not tried again for the same path.
+	remember_failures: duration & >=0ms & <=60s | *200ms
+	// Descriptors for calls, idle connections included; they come off the platform's limit.
+	connections: int & >=1 & <=4096 | *128
+}
--- a/src/deps/spec.h
+++ b/src/deps/spec.h
@@ -38,7 +38,10 @@
   Duration slow_start = std::chrono::seconds(2);
   Duration probe_every = std::chrono::milliseconds(100), probe_most = std::chrono::seconds(1);
 
-  std::size_t most_answer = 65536;  // bytes of a body
+  // For whoever carries the calls out. Bytes, and times without any byte.
+  std::size_t most_answer = 65536, most_header = 8192;
+  Duration quiet_most = std::chrono::seconds(1), idle_most = std::chrono::seconds(20);
+  std::uint32_t most_idle = 16;  // connections kept for the next call
 };
 
 struct PartSpec {
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -37,7 +37,9 @@
   fire_timers();
   // Applying actions may end further requests (a repeat whose result is at hand): another round tells the
   // module, until nothing is left to tell.
-  while (module_ && !events_.empty()) {
+  for (;;) {
+    for (const auto& ended : std::exchange(ended_gathers_, {})) gather_ended(ended);
+    if (!module_ || events_.empty()) break;
     const auto events = std::exchange(events_, {});
     for (const auto& action : module_->handle(now_.steady, events))
       std::visit([&](const auto& a) { apply(a); }, action);
@@ -49,9 +51,17 @@
   return std::move(out_);
 }
 
-std::optional<TimePoint> Edge::next_timer() const {
-  if (timers_.empty()) return std::nullopt;
-  return timers_.top().at;
+std::optional<TimePoint> Edge::next_timer() {
+  std::optional<TimePoint> next;
+  if (!timers_.empty()) next = timers_.top().at;
+  if (const auto below = gatherer_ ? gatherer_->next_timer() : std::nullopt)
+    next = next ? std::min(*next, *below) : below;
+  return next;
+}
+
+void Edge::declare(std::shared_ptr<const deps::Spec> spec, Compose compose, bool guarded) {
+  gatherer_.emplace(std::move(spec), seed_, guarded);
+  compose_ = std::move(compose);
 }
 
 // ---- What comes in ----
@@ -83,6 +93,9 @@
                          false,
                          past_grace(),
                          arrived.repeats,
+                         {},
+                         false,
+                         {},
                          {}});
   ++unanswered_;
   events_.emplace_back(arrived);
@@ -149,7 +162,22 @@
 void Edge::abandon(RequestId id, Open& o) {
   if (!o.followers.empty()) return;
   events_.emplace_back(CallerGone{id});
-  if (o.work != Work::running) end(id, KeyTable::RunState::bad, nullptr);
+  drop_work(id, o);
+}
+
+// Its answer is given or nobody's: over, but for a run, whose end the kernel reports. A gather ends with it,
+// unless a repeat waits for what comes of it.
+void Edge::drop_work(RequestId id, Open& o) {
+  if (o.work == Work::running) return;
+  if (o.work == Work::gathering) {
+    if (o.calling && !o.followers.empty()) return;
+    if (o.calling) {
+      gatherer_->abandon(id, now_.steady);
+      pass_on_calls();
+    }
+    events_.emplace_back(RunEnded{id, RunResult::moot, {}});
+  }
+  end(id, KeyTable::RunState::bad, nullptr);
 }
 
 void Edge::on(const Drain& drain) {
@@ -179,8 +207,7 @@
   if (o.work != Work::running) return;
   switch (report.end) {
     case RunEnd::ok:
-      return finish_run(id, RunResult::ok, report.took,
-                        std::make_shared<const std::string>(std::move(report.result)));
+      return finish_run(id, RunResult::ok, report.took, product_of(o, std::move(report.result)));
     case RunEnd::error:
       return finish_run(id, RunResult::error, report.took, nullptr);
     case RunEnd::moot:
@@ -225,6 +252,9 @@
     fired = true;
   }
   if (fired) command(AskGauges{});
+  if (!gatherer_) return;
+  gatherer_->tick(now_.steady);
+  pass_on_calls();
 }
 
 // ---- What the module decides ----
@@ -241,21 +271,31 @@
     return command(ResumeRun{o->request.rid});
   }
   if (o->work != Work::held) return;
+  if (!gathers(*o) || o->too_late || keys_.covering_run(o->request)) return begin_run(a.id, *o);
+  // Nothing reaches the kernel before its parts are there: a required one that fails costs no core time, and
+  // 'refused' stays true.
+  o->work = Work::gathering;
+  o->since = now_.steady;
+  events_.emplace_back(CallNeeded{a.id});
+}
+
+void Edge::begin_run(RequestId id, Open& open) {
+  auto* o = &open;
   // The last guard of two rules, whatever the module says. No try of a request runs again within the window
   // of the one that ran; and nothing runs that reached the machine too long after the notice to leave.
   const auto* run = keys_.covering_run(o->request);
   if (run || o->too_late) {
-    events_.emplace_back(RunEnded{a.id, RunResult::moot, {}});
+    events_.emplace_back(RunEnded{id, RunResult::moot, {}});
     if (run && run->state == KeyTable::RunState::good)
       answer(*o, Outcome::served, run->result);
     else
       answer(*o, run ? Outcome::failed : Outcome::refused);
-    return end(a.id, KeyTable::RunState::bad, nullptr);
+    return end(id, KeyTable::RunState::bad, nullptr);
   }
   o->work = Work::running;
   o->ran = true;
   o->since = now_.steady;
-  keys_.started(o->request, a.id);
+  keys_.started(o->request, id);
   command(StartRun{o->request.rid, o->request.cls, o->request.body});
 }
 
@@ -264,14 +304,14 @@
   if (!o) return;
   // 'Refused' promises that this try never ran.
   answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr, a.keep_off, a.do_not_try_elsewhere);
-  if (o->work != Work::running) end(a.id, KeyTable::RunState::bad, nullptr);
+  drop_work(a.id, *o);
 }
 
 void Edge::apply(const Fail& a) {
   auto* o = find(a.id);
   if (!o) return;
   answer(*o, Outcome::failed);
-  if (o->work != Work::running) end(a.id, KeyTable::RunState::bad, nullptr);
+  drop_work(a.id, *o);
 }
 
 void Edge::apply(const Suspend& a) {
@@ -301,7 +341,7 @@
     return;
   }
   auto* original = o->repeats ? find(*o->repeats) : nullptr;
-  if (!original || original->work != Work::held)
+  if (!original || (original->work != Work::held && original->work != Work::gathering))
     return settle_follower(a.id, KeyTable::RunState::bad, nullptr);
   original->followers.push_back(a.id);
 }
@@ -318,9 +358,94 @@
   timers_.push({now_.steady + std::max(a.after, Duration(1)), timer_order_++, a.token});
 }
 void Edge::apply(const Log& a) { remark("module: " + a.text); }
-// The kernel's protocol has no calls below it.
-void Edge::apply(const Call& a) { apply(Fail{a.id}); }
-void Edge::apply(const SkipCall& a) { apply(Fail{a.id}); }
+
+// ---- Calls below ----
+
+// The kernel's protocol has no calls: only classes with declared parts ever ask for one.
+void Edge::apply(const Call& a) {
+  auto* o = find(a.id);
+  if (!o || o->work != Work::gathering) return apply(Fail{a.id});
+  begin_gather(a.id, *o, a.limit, true);
+}
+
+void Edge::apply(const SkipCall& a) {
+  auto* o = find(a.id);
+  if (!o || o->work != Work::gathering) return apply(Fail{a.id});
+  begin_gather(a.id, *o, {}, false);
+}
+
+void Edge::begin_gather(RequestId id, Open& o, Duration limit, bool may_call) {
+  if (o.calling) return;
+  if (!gatherer_->gathers(o.request.cls)) {  // a new declaration came in between
+    if (may_call) events_.emplace_back(CallEnded{id, CallResult::ok, {}});
+    return begin_run(id, o);
+  }
+  o.calling = true;
+  o.since = now_.steady;
+  gatherer_->begin(id, o.request.cls,
+                   {o.request.read, o.request.body, catalog_.classes[std::size_t(o.request.cls)]}, limit,
+                   may_call, now_.steady);
+  pass_on_calls();
+}
+
+void Edge::on(const deps::CallReport& report) {
+  if (!gatherer_) return;
+  gatherer_->ended(report, now_.steady);
+  pass_on_calls();
+}
+
+void Edge::on(const NewDeclaration& fresh) {
+  if (!gatherer_ || !fresh.spec) return;
+  gatherer_->change(fresh.spec, now_.steady);
+  pass_on_calls();
+}
+
+// At once, as a call's path is only lent. Ends of gathers wait for the next round: they may end requests that
+// whoever is at work here still holds.
+void Edge::pass_on_calls() {
+  for (const auto& action : gatherer_->actions()) {
+    if (const auto* start = std::get_if<deps::StartCall>(&action)) {
+      const auto& d = gatherer_->dependency(start->dependency);
+      out_.emplace_back(CallBelow{start->id, *start->path,
+                                  gatherer_->address(start->dependency, start->endpoint), d.name,
+                                  d.most_answer, d.most_header, d.quiet_most, d.idle_most, d.most_idle});
+    } else if (const auto* drop = std::get_if<deps::AbandonCall>(&action)) {
+      out_.emplace_back(DropCall{drop->id});
+    } else if (const auto* ended = std::get_if<deps::GatherEnded>(&action)) {
+      ended_gathers_.push_back(*ended);
+    } else if (const auto* changed = std::get_if<deps::DependencyChanged>(&action)) {
+      const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(changed->after).count();
+      remark(gatherer_->dependency(changed->dependency).name +
+             (changed->out ? " is out: going on without it, and probing"
+                           : " is back after " + std::to_string(ms) + " ms"));
+    }
+  }
+  gatherer_->clear_actions();
+}
+
+void Edge::gather_ended(const deps::GatherEnded& ended) {
+  auto* o = find(ended.id);
+  if (o && o->work == Work::gathering && o->calling)
+    for (const auto& part : gatherer_->parts(ended.id))
+      o->parts.push_back({std::string(part.name), part.status, part.age, part.body});
+  gatherer_->release(ended.id);
+  if (!o || o->work != Work::gathering) return;
+  o->gathered = now_.steady;
+  const auto how = ended.whole_enough ? CallResult::ok : CallResult::error;
+  events_.emplace_back(CallEnded{ended.id, how, now_.steady - o->since});
+  if (ended.whole_enough) return begin_run(ended.id, *o);
+  events_.emplace_back(RunEnded{ended.id, RunResult::error, {}});
+  answer(*o, Outcome::failed);
+  end(ended.id, KeyTable::RunState::bad, nullptr);
+}
+
+Result Edge::product_of(Open& o, std::string result) {
+  if (o.parts.empty() || !compose_)
+    return std::make_shared<const Product>(Product{std::move(result), {}, {}});
+  for (auto& part : o.parts)
+    if (part.body && part.status != deps::PartStatus::fallback) part.age += now_.steady - o.gathered;
+  return std::make_shared<const Product>(compose_(std::move(result), o.parts));
+}
 
 // ---- Ends ----
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -4,6 +4,7 @@
 // Each request has one owner, its entry here, and one state. It leaves when its work is over and its answer
 // given; an answer is made in one place only, and only once.
 #pragma once
+#include <functional>
 #include <map>
 #include <optional>
 #include <queue>
@@ -23,15 +24,22 @@
  public:
   Edge(ParsedSettings settings, Catalog catalog, std::uint64_t seed);
 
+  // Has classes gather parts from the services below; before the first step. `compose` makes one answer of
+  // the kernel's result and the parts.
+  using Compose = std::function<Product(std::string result, const std::vector<GatheredPart>& parts)>;
+  void declare(std::shared_ptr<const deps::Spec> spec, Compose compose, bool guarded = true);
+  const deps::Gatherer* gatherer() const { return gatherer_ ? &*gatherer_ : nullptr; }
+
   // All that came since the last step, in order; what is to be done now, in order.
   std::vector<Output> step(Now now, std::vector<Input> inputs);
-  std::optional<TimePoint> next_timer() const;
+  std::optional<TimePoint> next_timer();
   // Nothing is owed: no request here waits for its answer.
   bool owes_nothing() const { return unanswered_ == 0; }
   std::size_t open_requests() const { return open_.size(); }
 
  private:
-  enum class Work : std::uint8_t { held, running, paused, reusing };
+  // gathering: the module let it run, and what it needs from below is asked for first.
+  enum class Work : std::uint8_t { held, gathering, running, paused, reusing };
   struct Open {
     Request request;
     TimePoint since;
@@ -40,6 +48,9 @@
     bool too_late = false;  // read so long after the notice to leave that it must not run
     std::optional<RequestId> repeats;
     std::vector<RequestId> followers;  // repeats that wait for this one's result
+    bool calling = false;              // its gather has begun
+    std::vector<GatheredPart> parts;   // that it gathered, before its run
+    TimePoint gathered{};
   };
   struct Timer {
     TimePoint at;
@@ -59,6 +70,8 @@
   void on(const CommandRejected& rejected);
   void on(const Gauges& gauges);
   void on(const DeepCheckDone& done);
+  void on(const deps::CallReport& report);
+  void on(const NewDeclaration& fresh);
   void fire_timers();
 
   void apply(const Run& a);
@@ -76,6 +89,15 @@
   void apply(const Call& a);
   void apply(const SkipCall& a);
 
+  bool gathers(const Open& o) const {
+    return gatherer_ && o.parts.empty() && gatherer_->gathers(o.request.cls);
+  }
+  void begin_gather(RequestId id, Open& o, Duration limit, bool may_call);
+  void pass_on_calls();  // to whoever carries them out, and notes the gathers that ended
+  void gather_ended(const deps::GatherEnded& ended);
+  void begin_run(RequestId id, Open& o);
+  void drop_work(RequestId id, Open& o);
+  Result product_of(Open& o, std::string result);
   Open* find(RequestId id);
   bool untimely(const Request& request) const;
   bool past_grace() const;
@@ -103,6 +125,9 @@
   std::unordered_map<std::string, RequestId> by_rid_;
   std::map<PeerId, std::vector<RequestId>> by_peer_;  // what is open, in order of arrival
   KeyTable keys_;
+  std::optional<deps::Gatherer> gatherer_;
+  std::vector<deps::GatherEnded> ended_gathers_;
+  Compose compose_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::map<std::uint64_t, Origin> deep_checks_;
   std::vector<float> gauges_;
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "deps/gatherer.h"
 #include "granitegap/policy.h"
 
 namespace granitegap::edge {
@@ -54,7 +55,12 @@
 };
 
 enum class Outcome : std::uint8_t { served, refused, failed };
-using Result = std::shared_ptr<const std::string>;
+// What a run made: for a class that gathers parts the kernel's result and the parts in one, with the names of
+// those that are there and of those that are not.
+struct Product {
+  std::string bytes, parts, missing;
+};
+using Result = std::shared_ptr<const Product>;
 
 struct Answer {
   Origin to;
@@ -93,6 +99,29 @@
 };
 using Command = std::variant<StartRun, ResumeRun, StopRun, AskGauges, DeepCheck>;
 
+// ---- To the services below ----
+struct CallBelow {
+  deps::CallId id{};
+  std::string path;
+  deps::EndpointSpec to;
+  std::string name;  // of the dependency
+  std::size_t most_answer = 0, most_header = 0;
+  Duration quiet_most{}, idle_most{};
+  std::uint32_t most_idle = 0;
+};
+struct DropCall {
+  deps::CallId id{};
+};
+struct NewDeclaration {  // of the services below; takes the place of the one in force
+  std::shared_ptr<const deps::Spec> spec;
+};
+struct GatheredPart {
+  std::string name;
+  deps::PartStatus status = deps::PartStatus::absent;
+  Duration age{};
+  deps::Bytes body;
+};
+
 // ---- From the kernel ----
 struct Booted {
   bool cold = true;
@@ -132,8 +161,9 @@
   Origin from;
 };
 
-using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
-                           RunReport, CommandRejected, Gauges, DeepCheckDone>;
+using Input =
+    std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
+                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
@@ -145,6 +175,7 @@
 struct Remark {
   std::string text;
 };
-using Output = std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark>;
+using Output =
+    std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow, DropCall>;
 
 }  // namespace granitegap::edge
--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -259,7 +259,10 @@
     if (backoff > 0) fields.add("backoff", std::to_string(backoff));
     if (answer.last) fields.add("final", "1");
   }
-  if (answer.outcome == edge::Outcome::served && answer.result) to += *answer.result;
+  if (answer.outcome != edge::Outcome::served || !answer.result) return;
+  if (!answer.result->parts.empty()) fields.add("parts", answer.result->parts);
+  if (!answer.result->missing.empty()) fields.add("missing", answer.result->missing);
+  to += answer.result->bytes;
 }
 
 void encode(const edge::HealthAnswer& answer, std::string& to) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
-// One tile server: its configuration, its signals and its exit status.
+// One tile server: its command line, its configuration, its signals and its exit status.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -12,22 +13,64 @@
 namespace granitegap {
 namespace {
 
-int run() {
+constexpr int kUnusable = 2;
+
+struct Options {
+  std::string operator_file;
+  LogForm log = LogForm::text;
+  bool plain = false;
+};
+
+int tell(const operators::Errors& errors) {
+  for (const auto& e : errors) std::fprintf(stderr, "%s\n", e.text().c_str());
+  return kUnusable;
+}
+
+int check(const std::string& path) {
+  auto declared = operators::load(path);
+  if (const auto* errors = std::get_if<operators::Errors>(&declared)) return tell(*errors);
+  auto& good = std::get<operators::Declared>(declared);
+  // With the platform's settings at hand its classes are held against them too.
+  if (const char* platform = std::getenv("EDGE_CONFIG")) {
+    const auto loaded = config::load(platform);
+    if (const auto* problem = std::get_if<config::Problem>(&loaded)) {
+      std::fprintf(stderr, "granitegap: EDGE_CONFIG %s: %s\n", platform, problem->what.c_str());
+      return kUnusable;
+    }
+    if (const auto errors = operators::bind(good, std::get<config::Config>(loaded).catalog); !errors.empty())
+      return tell(errors);
+  }
+  std::fputs(records::print(good.filled).c_str(), stdout);
+  return 0;
+}
+
+int serve(const Options& options) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until it can be heeded: unhandled it would end the process
   const char* path = std::getenv("EDGE_CONFIG");
   if (!path) {
     std::fputs("granitegap: EDGE_CONFIG is not set\n", stderr);
-    return 2;
+    return kUnusable;
   }
   auto loaded = config::load(path);
   if (const auto* problem = std::get_if<config::Problem>(&loaded)) {
     std::fprintf(stderr, "granitegap: EDGE_CONFIG %s: %s\n", path, problem->what.c_str());
-    return 2;
+    return kUnusable;
+  }
+  auto& config = std::get<config::Config>(loaded);
+  Server::Extras extras;
+  extras.log = options.log;
+  extras.guarded = !options.plain;
+  if (!options.operator_file.empty()) {
+    auto declared = operators::load(options.operator_file);
+    if (const auto* errors = std::get_if<operators::Errors>(&declared)) return tell(*errors);
+    extras.declared = std::get<operators::Declared>(std::move(declared));
+    if (const auto errors = operators::bind(*extras.declared, config.catalog); !errors.empty())
+      return tell(errors);
   }
   try {
     boost::asio::io_context context(1);
-    Server server(context, std::move(std::get<config::Config>(loaded)));
+    Server server(context, std::move(config), std::move(extras));
     boost::asio::signal_set notice(context, SIGTERM, SIGINT);
     notice.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) server.drain();
@@ -37,6 +80,7 @@
       if (error) return;
       fresh_config.async_wait(reload);
       server.reload(config::load(path));
+      if (!options.operator_file.empty()) server.reload(operators::load(options.operator_file));
     };
     fresh_config.async_wait(reload);
     server.start();
@@ -48,7 +92,38 @@
   return 0;
 }
 
+int run(int argc, char** argv) {
+  if (argc == 1) return serve({});  // as the platform starts it
+  CLI::App app("A tile server that decides for itself what it takes, runs and turns away.", "granitegap");
+  app.set_version_flag("--version", "granitegap " GRANITEGAP_VERSION);
+  app.require_subcommand(0, 1);
+  app.footer("Alone it serves, as `granitegap serve` does. EDGE_CONFIG names the platform's configuration.");
+  Options options;
+  const auto add_log = [&](CLI::App& to) {
+    to.add_option("--log", options.log, "Form of the log lines")
+        ->transform(CLI::CheckedTransformer(
+            std::map<std::string, LogForm>{{"text", LogForm::text}, {"json", LogForm::json}}))
+        ->option_text("text|json [text]");
+  };
+  add_log(app);
+  auto* serving = app.add_subcommand("serve", "Serve until SIGTERM; SIGHUP reads the files again");
+  serving->add_option("--operator", options.operator_file, "The operator's own file; docs/operators-file.md");
+  serving->add_flag("--plain-calls", options.plain,
+                    "Call without budgets, limits or breakers: only to measure what these are worth");
+  add_log(*serving);
+  std::string file;
+  auto* checking =
+      app.add_subcommand("check", "Print an operator's file with its defaults, or all that is wrong with it");
+  checking->add_option("FILE", file, "The file")->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kUnusable;
+  }
+  return *checking ? check(file) : serve(options);
+}
+
 }  // namespace
 }  // namespace granitegap
 
-int main() { return granitegap::run(); }
+int main(int argc, char** argv) { return granitegap::run(argc, argv); }
--- /dev/null
+++ b/src/operators/operator_file.cpp
@@ -0,0 +1,215 @@
+#include "operators/operator_file.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <optional>
+#include <set>
+
+#include "deps/path_template.h"
+#include "operator_schema.h"
+
+namespace granitegap::operators {
+namespace {
+
+using records::Value;
+
+std::optional<deps::EndpointSpec> endpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) return std::nullopt;
+  auto host = text.substr(0, colon);
+  const bool brackets = host.front() == '[' && host.back() == ']';
+  if (brackets) host = host.substr(1, host.size() - 2);
+  if (!brackets && host.find(':') != std::string::npos) return std::nullopt;
+  std::uint16_t port = 0;
+  const auto* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  boost::system::error_code bad;
+  boost::asio::ip::make_address(host, bad);
+  if (bad || error != std::errc{} || at != end || port == 0) return std::nullopt;
+  return deps::EndpointSpec{host, port};
+}
+
+class Reader {
+ public:
+  Reader(const std::string& file, Errors& errors) : file_(file), errors_(errors) {}
+
+  void read(const Value& top, Declared& to) {
+    const auto& dependencies = top["dependencies"].as_list();
+    for (std::size_t i = 0; i < dependencies.size(); ++i)
+      to.spec.dependencies.push_back(dependency(dependencies[i], "dependencies[" + std::to_string(i) + "]"));
+    const auto& gathers = top["gathers"].as_list();
+    for (std::size_t i = 0; i < gathers.size(); ++i) {
+      const auto path = "gathers[" + std::to_string(i) + "]";
+      const auto& cls = gathers[i]["class"];
+      const auto same = [&](const auto& c) { return c.first == cls.as_text(); };
+      if (std::any_of(to.classes.begin(), to.classes.end(), same))
+        fail(cls, path + ".class",
+             "class " + cls.as_text() + " has gathers twice; expected one for each class");
+      to.classes.emplace_back(cls.as_text(), cls.at);
+      to.spec.gathers.push_back(gather(gathers[i], path, to.spec));
+    }
+    to.spec.cache_bytes = top["cache"].as_size();
+    to.spec.remember_failures = top["remember_failures"].as_span();
+    to.connections = std::size_t(top["connections"].as_int());
+  }
+
+ private:
+  void fail(const Value& where, const std::string& field, std::string what) {
+    errors_.push_back({file_, where.at, field, std::move(what)});
+  }
+  template <class T>
+  void in_order(const Value& v, const char* least, const char* most, T low, T high, const std::string& path) {
+    if (low > high) fail(v, path + "." + least, std::string("expected no more than ") + most);
+  }
+
+  deps::DependencySpec dependency(const Value& v, const std::string& path) {
+    deps::DependencySpec d;
+    d.name = v["name"].as_text();
+    if (!std::all_of(d.name.begin(), d.name.end(),
+                     [](char c) { return c > ' ' && c < 127 && c != '/' && c != '@'; }))
+      fail(v["name"], path + ".name", "expected a host's name, as it stands in Host");
+    if (!names_.insert(d.name).second) fail(v["name"], path + ".name", "a second dependency of this name");
+    const auto& endpoints = v["endpoints"].as_list();
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      const auto here = path + ".endpoints[" + std::to_string(i) + "]";
+      const auto e = endpoint(endpoints[i].as_text());
+      if (!e)
+        fail(endpoints[i], here, "expected a numeric address and a port, as \"127.0.0.1:9001\"");
+      else if (std::find(d.endpoints.begin(), d.endpoints.end(), *e) != d.endpoints.end())
+        fail(endpoints[i], here, "the same endpoint twice");
+      else
+        d.endpoints.push_back(*e);
+    }
+    const auto whole = [&](const char* name) { return std::uint32_t(v[name].as_int()); };
+    d.timeout_least = v["timeout_least"].as_span();
+    d.timeout_most = v["timeout_most"].as_span();
+    d.timeout_factor = v["timeout_factor"].as_number();
+    d.most_tries = whole("most_tries");
+    d.retry_share = v["retry_share"].as_number();
+    d.retry_burst = v["retry_burst"].as_number();
+    d.retry_pause = v["retry_pause"].as_span();
+    d.retry_pause_most = v["retry_pause_most"].as_span();
+    d.hedge_after = v["hedge_after"].as_number();
+    d.least_open = whole("least_open");
+    d.most_open = whole("most_open");
+    d.most_waiting = whole("most_waiting");
+    d.most_ejected = v["most_ejected"].as_number();
+    d.eject_for = v["eject_for"].as_span();
+    d.eject_most = v["eject_most"].as_span();
+    d.slow_start = v["slow_start"].as_span();
+    d.probe_every = v["probe_every"].as_span();
+    d.probe_most = v["probe_most"].as_span();
+    d.most_answer = v["most_answer"].as_size();
+    d.most_header = v["most_header"].as_size();
+    d.quiet_most = v["quiet_most"].as_span();
+    d.idle_most = v["idle_most"].as_span();
+    d.most_idle = whole("most_idle");
+    in_order(v, "timeout_least", "timeout_most", d.timeout_least, d.timeout_most, path);
+    in_order(v, "retry_pause", "retry_pause_most", d.retry_pause, d.retry_pause_most, path);
+    in_order(v, "least_open", "most_open", d.least_open, d.most_open, path);
+    in_order(v, "eject_for", "eject_most", d.eject_for, d.eject_most, path);
+    in_order(v, "probe_every", "probe_most", d.probe_every, d.probe_most, path);
+    return d;
+  }
+
+  deps::GatherSpec gather(const Value& v, const std::string& path, const deps::Spec& spec) {
+    deps::GatherSpec g;
+    g.budget = v["budget"].as_span();
+    const auto& parts = v["parts"].as_list();
+    for (std::size_t i = 0; i < parts.size(); ++i)
+      g.parts.push_back(part(parts[i], path + ".parts[" + std::to_string(i) + "]", spec, g.parts));
+    return g;
+  }
+
+  deps::PartSpec part(const Value& v, const std::string& path, const deps::Spec& spec,
+                      const std::vector<deps::PartSpec>& earlier) {
+    deps::PartSpec p;
+    p.name = v["name"].as_text();
+    if (p.name.find_first_of(", =\r\n") != std::string::npos)
+      fail(v["name"], path + ".name", "expected a name without commas and spaces");
+    if (std::any_of(earlier.begin(), earlier.end(), [&](auto& e) { return e.name == p.name; }))
+      fail(v["name"], path + ".name", "a second part of this name");
+    const auto& from = v["from"];
+    const auto d = std::find_if(spec.dependencies.begin(), spec.dependencies.end(),
+                                [&](auto& known) { return known.name == from.as_text(); });
+    if (d == spec.dependencies.end())
+      fail(from, path + ".from",
+           "no dependency " + from.as_text() + "; expected one of " + known_names(spec));
+    else
+      p.dependency = std::size_t(d - spec.dependencies.begin());
+    p.path = v["path"].as_text();
+    const auto parsed = deps::PathTemplate::parse(p.path);
+    const auto* needs = v.find("needs");
+    if (const auto* bad = std::get_if<deps::PathTemplate::Bad>(&parsed))
+      fail(v["path"], path + ".path", bad->why + ", at character " + std::to_string(bad->at + 1));
+    else if (!needs && std::get<deps::PathTemplate>(parsed).uses_needed())
+      fail(v["path"], path + ".path", "{needed} without needs: expected the name of an earlier part there");
+    if (needs) {
+      const auto e =
+          std::find_if(earlier.begin(), earlier.end(), [&](auto& k) { return k.name == needs->as_text(); });
+      if (e == earlier.end())
+        fail(*needs, path + ".needs", "expected the name of an earlier part of this gather");
+      else
+        p.needs = std::size_t(e - earlier.begin());
+    }
+    p.required = v["required"].as_bool();
+    p.within = v["within"].as_span();
+    p.fresh_for = v["fresh_for"].as_span();
+    p.stale_for = v["stale_for"].as_span();
+    if (const auto* fallback = v.find("default")) p.fallback = fallback->as_text();
+    return p;
+  }
+
+  static std::string known_names(const deps::Spec& spec) {
+    std::string names;
+    for (const auto& d : spec.dependencies) names += (names.empty() ? "" : ", ") + d.name;
+    return names.empty() ? "none, as none is declared" : names;
+  }
+
+  const std::string& file_;
+  Errors& errors_;
+  std::set<std::string> names_;
+};
+
+}  // namespace
+
+const records::Document& schema() {
+  static const auto document =
+      std::get<records::Document>(records::parse(kOperatorSchema, "operator.schema.cue"));
+  return document;
+}
+
+std::variant<Declared, Errors> read(const records::Document& document) {
+  auto checked = records::validate(document, schema(), "#Operator");
+  if (auto* errors = std::get_if<Errors>(&checked)) return std::move(*errors);
+  Declared declared;
+  declared.file = document.file;
+  declared.filled = std::get<Value>(std::move(checked));
+  Errors errors;
+  Reader(document.file, errors).read(declared.filled, declared);
+  if (!errors.empty()) return errors;
+  return declared;
+}
+
+std::variant<Declared, Errors> load(const std::string& path) {
+  const auto document = records::load(path);
+  if (const auto* error = std::get_if<records::Error>(&document)) return Errors{*error};
+  return read(std::get<records::Document>(document));
+}
+
+Errors bind(Declared& declared, const edge::Catalog& catalog) {
+  Errors errors;
+  for (std::size_t i = 0; i < declared.classes.size(); ++i) {
+    const auto& [name, at] = declared.classes[i];
+    const auto cls = catalog.find_class(name);
+    if (cls)
+      declared.spec.gathers[i].cls = *cls;
+    else
+      errors.push_back({declared.file, at, "gathers[" + std::to_string(i) + "].class",
+                        "the platform's settings have no class " + name});
+  }
+  return errors;
+}
+
+}  // namespace granitegap::operators
--- /dev/null
+++ b/src/operators/operator_file.h
@@ -0,0 +1,33 @@
+// The operator's own file, made ready: what it declares, checked against its schema and in itself.
+#pragma once
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "deps/spec.h"
+#include "edge/types.h"
+#include "records/records.h"
+
+namespace granitegap::operators {
+
+using Errors = std::vector<records::Error>;
+
+struct Declared {
+  deps::Spec spec;                                                 // its classes are numbered by bind()
+  std::vector<std::pair<std::string, records::Position>> classes;  // of the gathers, in order
+  std::size_t connections = 128;
+  records::Value filled;  // the file, with defaults
+  std::string file;
+};
+
+// The schema that the program carries (deploy/operator.schema.cue).
+const records::Document& schema();
+// A Declared, or every error there is.
+std::variant<Declared, Errors> read(const records::Document& document);
+std::variant<Declared, Errors> load(const std::string& path);
+// Numbers the classes as the platform's settings do; names those that it does not know.
+Errors bind(Declared& declared, const edge::Catalog& catalog);
+
+}  // namespace granitegap::operators
--- /dev/null
+++ b/src/parts/compose.h
@@ -0,0 +1,15 @@
+// One answer of the kernel's result and the parts gathered for it.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "edge/types.h"
+
+namespace granitegap::parts {
+
+// A serialized granitegap.PartialAnswer (partial_answer.proto). Where it would grow over `most_bytes`, parts
+// are dropped, the largest first, and count as absent: a part may be lost, the answer never.
+edge::Product compose(std::string result, const std::vector<edge::GatheredPart>& parts,
+                      std::size_t most_bytes);
+
+}  // namespace granitegap::parts
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <exception>
 
+#include "parts/compose.h"
+
 namespace granitegap {
 namespace {
 
@@ -15,6 +17,7 @@
 constexpr milliseconds kDoorBefore = 400ms;  // the end, for what the list has not kept away
 constexpr milliseconds kCrossing = 150ms;    // a request may cross the notice on its connection for 50 ms
 constexpr milliseconds kLook = 5ms;
+constexpr std::size_t kMostComposed = 200 * 1024;  // well inside a frame
 
 template <class Protocol>
 typename Protocol::endpoint address(const config::Endpoint& e, boost::system::error_code& error) {
@@ -28,19 +31,43 @@
 
 }  // namespace
 
-Server::Server(asio::io_context& context, config::Config config, edge::ModuleActor::Clocks clocks)
+edge::Edge Server::make_edge(const config::Config& config, const Extras& extras) {
+  edge::Edge edge(config.parsed, config.catalog, config.seed);
+  if (extras.declared)
+    edge.declare(
+        std::make_shared<const deps::Spec>(extras.declared->spec),
+        [](std::string result, const std::vector<edge::GatheredPart>& parts) {
+          return parts::compose(std::move(result), parts, kMostComposed);
+        },
+        extras.guarded);
+  return edge;
+}
+
+// Calls below take their descriptors from the same limit, and never more than half of it.
+std::size_t Server::sockets_for_peers(const config::Config& config, const Extras& extras) {
+  const auto all = config.limits.sockets;
+  return extras.declared ? all - std::min(extras.declared->connections, all / 2) : all;
+}
+
+Server::Server(asio::io_context& context, config::Config config, Extras extras,
+               edge::ModuleActor::Clocks clocks)
     : context_(context),
       config_(std::move(config)),
-      log_(config_.name),
+      extras_(std::move(extras)),
+      log_(config_.name, extras_.log),
       module_(
-          context.get_executor(), edge::Edge(config_.parsed, config_.catalog, config_.seed),
-          config_.limits.memory_mb, [this](edge::Output output) { dispatch(std::move(output)); },
-          std::move(clocks)),
+          context.get_executor(), make_edge(config_, extras_), config_.limits.memory_mb,
+          [this](edge::Output output) { dispatch(std::move(output)); }, std::move(clocks)),
       link_(context.get_executor(), address<asio::ip::tcp>(config_.kernel), config_.catalog,
             module_.mailbox(), log_),
       announcer_(context.get_executor(), address<asio::ip::udp>(config_.announce), config_.name, log_),
-      listener_(context.get_executor(), address<asio::ip::tcp>(config_.listen), config_.limits.sockets,
-                config_.catalog, module_.mailbox(), log_) {}
+      listener_(context.get_executor(), address<asio::ip::tcp>(config_.listen),
+                sockets_for_peers(config_, extras_), config_.catalog, module_.mailbox(), log_) {
+  if (!extras_.declared) return;
+  // Ends of calls always find room: the limits on open calls bound their number.
+  caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
+                  [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
+}
 
 void Server::start() {
   spawn(module_.run());
@@ -48,8 +75,15 @@
   spawn(announcer_.run());
   spawn(listener_.run());
   spawn(listener_.mind_peers());
+  if (caller_) spawn(caller_->mind_idle());
   const auto at = local();
-  log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()));
+  log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()),
+            {{"event", "listening"}, {"port", std::int64_t(at.port())}});
+  if (extras_.declared)
+    log_.line("operator file " + extras_.declared->file + ": " +
+                  std::to_string(extras_.declared->spec.dependencies.size()) + " dependencies, " +
+                  std::to_string(extras_.declared->spec.gathers.size()) + " classes gather",
+              {{"event", "declared"}, {"file", extras_.declared->file}});
 }
 
 // An actor that ends by an exception has broken its promises: better a clear end than half a server.
@@ -73,6 +107,10 @@
     listener_.close_idle(idle->idle_for);
   } else if (const auto* remark = std::get_if<edge::Remark>(&output)) {
     log_.line(remark->text);
+  } else if (auto* call = std::get_if<edge::CallBelow>(&output)) {
+    if (caller_) caller_->start(std::move(*call));
+  } else if (const auto* drop = std::get_if<edge::DropCall>(&output)) {
+    if (caller_) caller_->abandon(drop->id);
   }
 }
 
@@ -109,6 +147,29 @@
   announcer_.move_to(service);
 }
 
+void Server::reload(std::variant<operators::Declared, operators::Errors> loaded) {
+  const auto keep = [&](const operators::Errors& errors) {
+    for (const auto& e : errors)
+      log_.line("reload: keeping the old operator file: " + e.text(),
+                {{"event", "reload_refused"}, {"field", e.field}});
+  };
+  if (const auto* errors = std::get_if<operators::Errors>(&loaded)) return keep(*errors);
+  auto& fresh = std::get<operators::Declared>(loaded);
+  if (const auto errors = operators::bind(fresh, config_.catalog); !errors.empty()) return keep(errors);
+  if (!extras_.declared) return;
+  if (fresh.connections != extras_.declared->connections)
+    log_.line("reload: changed but kept until a restart: connections");
+  const auto connections = extras_.declared->connections;
+  extras_.declared = std::move(fresh);
+  extras_.declared->connections = connections;
+  log_.line(
+      "reload: operator file taken over: " + std::to_string(extras_.declared->spec.dependencies.size()) +
+          " dependencies, " + std::to_string(extras_.declared->spec.gathers.size()) + " classes gather",
+      {{"event", "reloaded"}});
+  module_.mailbox().post_control(
+      edge::NewDeclaration{std::make_shared<const deps::Spec>(extras_.declared->spec)});
+}
+
 // Takes and answers what still comes as long as callers may not have heard; then closes the door, sees all
 // answers off and ends before the kill.
 asio::awaitable<void> Server::leave() {
@@ -124,6 +185,7 @@
     if (Clock::now() >= crossed && module_.at_rest() && listener_.at_rest()) break;
   }
   log_.line(module_.at_rest() && listener_.at_rest() ? "left: all answered" : "left: with answers unsent");
+  if (caller_) caller_->close_all();
   context_.stop();
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -6,38 +6,56 @@
 
 #include "announce/announcer.h"
 #include "config/config.h"
+#include "deps_http/caller.h"
 #include "edge/module_actor.h"
 #include "kernel/link.h"
 #include "log/logger.h"
 #include "net/listener.h"
+#include "operators/operator_file.h"
 
 namespace granitegap {
 
 class Server {
  public:
-  Server(boost::asio::io_context& context, config::Config config,
+  struct Extras {                                 // what an operator may add; none of it on the platform
+    std::optional<operators::Declared> declared;  // its classes numbered
+    LogForm log = LogForm::text;
+    bool guarded = true;  // false: the plain policy that measurements compare with
+  };
+  Server(boost::asio::io_context& context, config::Config config, Extras extras,
          edge::ModuleActor::Clocks clocks = edge::read_clocks);
+  Server(boost::asio::io_context& context, config::Config config,
+         edge::ModuleActor::Clocks clocks = edge::read_clocks)
+      : Server(context, std::move(config), Extras{}, std::move(clocks)) {}
   void start();
   // The notice to leave: ends the context once all is answered, before the kill.
   void drain();
   // A new configuration while running: the kernel's and the announce service's addresses are taken over and
   // stop_ms counts from the next notice; what else differs waits for a restart, and is named in a line.
   void reload(const std::variant<config::Config, config::Problem>& loaded);
+  // A new operator's file while running: calls in flight go on. One that can't be used keeps the old.
+  void reload(std::variant<operators::Declared, operators::Errors> loaded);
   boost::asio::ip::tcp::endpoint local() const { return listener_.local(); }
   edge::ModuleActor& module() { return module_; }
+  std::size_t open_calls() const { return caller_ ? caller_->open_calls() : 0; }
 
  private:
   void spawn(boost::asio::awaitable<void> actor);
   void dispatch(edge::Output output);
   boost::asio::awaitable<void> leave();
 
+  static edge::Edge make_edge(const config::Config& config, const Extras& extras);
+  static std::size_t sockets_for_peers(const config::Config& config, const Extras& extras);
+
   boost::asio::io_context& context_;
   config::Config config_;
+  Extras extras_;
   Logger log_;
   edge::ModuleActor module_;
   kernel::Link link_;
   announce::Announcer announcer_;
   net::Listener listener_;
+  std::optional<deps_http::Caller> caller_;
   bool leaving_ = false;
 };
 
