--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -35,7 +35,10 @@
   if (since_usual < kUsualSamples && now - usual_at < kUsualLasts) return usual;
   since_usual = 0;
   usual_at = now;
+  // The median of a window follows a change by seconds, the mean of the newest answers within a few: guards
+  // against slowness read as failure.
   usual.median = latency.quantile(0.5, now, kSamplesForTimeout).value_or(Duration{});
+  if (usual.median.count() > 0) usual.median = std::max(usual.median, limit.recent());
   usual.high = latency.quantile(kTimeoutQuantile, now, kSamplesForTimeout).value_or(Duration{});
   usual.hedge = spec.hedge_after > 0
                     ? latency.quantile(spec.hedge_after, now, kSamplesForHedge).value_or(Duration{})
@@ -328,7 +331,11 @@
   auto& f = flights_[slot];
   auto& d = deps_[f.dependency];
   if (!guarded_ || (d.open < d.limit.limit() && d.waiting == 0)) return start_try(slot, now);
-  if (d.waiting >= d.spec.most_waiting) {
+  // Guards against a wait for a slot that can't be free in time: those ahead take turns of a usual answer
+  // each.
+  const auto turns = std::int64_t(d.waiting / std::max(d.limit.limit(), 1u)) + 1;
+  const bool in_vain = now + d.usual_now(now).median * (turns + 1) > latest_deadline(f);
+  if (d.waiting >= d.spec.most_waiting || in_vain) {
     ++totals_.shed;
     return give_up(slot, now);
   }
--- a/src/deps/limits.h
+++ b/src/deps/limits.h
@@ -20,6 +20,8 @@
   std::uint32_t limit() const { return std::uint32_t(limit_); }
   void succeeded(Duration took, std::uint32_t open_then);
   void failed();
+  // The mean of the newest few answers; zero before the first.
+  Duration recent() const { return Duration(std::int64_t(mean_)); }
   void restart();  // the dependency is back: from one
   void rebound(std::uint32_t least, std::uint32_t most);
 
--- a/tests/deps_test.cpp
+++ b/tests/deps_test.cpp
@@ -333,6 +333,25 @@
   expect_sound(w);
 }
 
+TEST(Gather, NobodyWaitsForASlotThatCannotBeFreeInTime) {
+  auto spec = two_dependencies();
+  spec.dependencies[0].least_open = spec.dependencies[0].most_open = 2;
+  spec.dependencies[0].hedge_after = 0;
+  World w(spec, 1);
+  w.behaviour = [](std::uint32_t d, auto, auto) { return Reply{.after = milliseconds(d == 0 ? 110 : 1)}; };
+  flow(w, seconds(2), milliseconds(100), 1000);
+  w.run_for(seconds(1));
+  const auto asked = w.now;
+  std::vector<RequestId> ids;
+  for (std::uint64_t key = 5000; key < 5020; ++key) ids.push_back(w.ask(key));
+  w.run_for(milliseconds(10));
+  // Two are called and four can still be in time; the others are over already, without their part.
+  EXPECT_EQ(std::count_if(ids.begin(), ids.end(), [&](auto id) { return w.outcomes.count(id); }), 14);
+  EXPECT_EQ(w.now - asked, milliseconds(10));
+  w.run_for(seconds(1));
+  expect_sound(w);
+}
+
 TEST(Gather, NewDeclarationDropsNoCallInFlight) {
   World w(two_dependencies(), 1);
   const auto id = w.ask(7);
--- /dev/null
+++ b/tools/standin/kernel.cpp
@@ -0,0 +1,133 @@
+#include "standin/kernel.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <sstream>
+
+namespace granitegap::standin {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto kTick = std::chrono::milliseconds(1);
+constexpr double kUseGain = 0.02;  // of one tick in the mean use of the cores
+
+auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+}  // namespace
+
+Kernel::Kernel(asio::io_context& io, int cores, Cost cost)
+    : io_(io),
+      door_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      link_(io),
+      tick_(io),
+      cores_(cores),
+      cost_(std::move(cost)) {
+  asio::co_spawn(io, accept(), asio::detached);
+  asio::co_spawn(io, work(), asio::detached);
+}
+
+asio::awaitable<void> Kernel::accept() {
+  for (;;) {
+    error_code error;
+    auto socket = co_await door_.async_accept(into(error));
+    if (error) co_return;
+    link_ = std::move(socket);
+    out_.clear();
+    writing_ = false;
+    co_await serve();
+  }
+}
+
+void Kernel::say(std::string text) {
+  out_ += text;
+  if (std::exchange(writing_, true)) return;
+  asio::co_spawn(
+      io_,
+      [this]() -> asio::awaitable<void> {
+        error_code error;
+        while (!out_.empty() && !error) {
+          const auto bytes = std::exchange(out_, {});
+          co_await asio::async_write(link_, asio::buffer(bytes), into(error));
+        }
+        writing_ = false;
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> Kernel::serve() {
+  std::string buffer;
+  for (;;) {
+    error_code error;
+    const auto end =
+        co_await asio::async_read_until(link_, asio::dynamic_buffer(buffer), "\r\n", into(error));
+    if (error) co_return;
+    std::istringstream words(buffer.substr(0, end));
+    buffer.erase(0, end);
+    std::string verb, word, cls;
+    words >> verb >> word;
+    if (verb == "OPEN") say("BOOTED WARM 60000\r\n");
+    if (verb == "SYSINFO")
+      say("INFO " + word + " " + std::to_string(use_) + " " + std::to_string(running_.size()) + " 0.1 1\r\n");
+    if (verb == "POST") say("POSTED " + word + " OK\r\n");
+    if (verb == "PREEMPT") {
+      if (auto node = running_.extract(word)) {
+        say("REAP " + std::to_string(++number_) + " " + word + " STOPPED 0 0\r\n\r\n");
+        paused_.insert(std::move(node));
+      }
+    }
+    if (verb == "RESCHED") {
+      if (auto node = paused_.extract(word)) running_.insert(std::move(node));
+    }
+    if (verb != "SCHED") continue;
+    std::size_t length = 0;
+    words >> cls >> length;
+    if (buffer.size() < length + 2) {
+      co_await asio::async_read(link_, asio::dynamic_buffer(buffer),
+                                asio::transfer_exactly(length + 2 - buffer.size()), into(error));
+      if (error) co_return;
+    }
+    const auto body = buffer.substr(0, length);
+    buffer.erase(0, length + 2);
+    ++runs_[{cls, body}];
+    running_[word] = {double(cost_(cls, body).count()), std::chrono::steady_clock::now()};
+  }
+}
+
+asio::awaitable<void> Kernel::work() {
+  auto then = std::chrono::steady_clock::now();
+  for (;;) {
+    tick_.expires_after(kTick);
+    error_code error;
+    co_await tick_.async_wait(into(error));
+    if (error) co_return;
+    const auto now = std::chrono::steady_clock::now();
+    const double passed = double(std::chrono::duration_cast<Duration>(now - then).count());
+    then = now;
+    const double busy = std::min<double>(cores_, double(running_.size()));
+    use_ += kUseGain * (busy / cores_ - use_);
+    const double share = running_.empty() ? 0 : passed * busy / double(running_.size());
+    for (auto it = running_.begin(); it != running_.end();) {
+      it->second.left_us -= share;
+      if (it->second.left_us > 0) {
+        ++it;
+        continue;
+      }
+      const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - it->second.since).count();
+      say("REAP " + std::to_string(++number_) + " " + it->first + " OK " + std::to_string(ms) +
+          " 2\r\nok\r\n");
+      it = running_.erase(it);
+    }
+  }
+}
+
+}  // namespace granitegap::standin
--- /dev/null
+++ b/tools/standin/kernel.h
@@ -0,0 +1,49 @@
+// A stand-in kernel on a loopback socket: cores shared evenly by all that runs. It keeps count of what it
+// ran.
+#pragma once
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "granitegap/policy.h"
+
+namespace granitegap::standin {
+
+class Kernel {
+ public:
+  // `cost`: core time of a run, by its class and body.
+  using Cost = std::function<Duration(const std::string& cls, const std::string& body)>;
+  Kernel(boost::asio::io_context& io, int cores, Cost cost);
+  std::uint16_t port() const { return door_.local_endpoint().port(); }
+  // Runs of each (class, body): more than one of a keyed request is a double run.
+  const std::map<std::pair<std::string, std::string>, int>& runs() const { return runs_; }
+
+ private:
+  struct Run {
+    double left_us = 0;
+    std::chrono::steady_clock::time_point since;
+  };
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> serve();
+  boost::asio::awaitable<void> work();
+  void say(std::string text);
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor door_;
+  boost::asio::ip::tcp::socket link_;
+  boost::asio::steady_timer tick_;
+  int cores_;
+  Cost cost_;
+  std::map<std::string, Run> running_, paused_;
+  std::map<std::pair<std::string, std::string>, int> runs_;
+  std::string out_;
+  bool writing_ = false;
+  std::uint64_t number_ = 0;
+  double use_ = 0;
+};
+
+}  // namespace granitegap::standin
