--- a/tools/standin/dependency.cpp
+++ b/tools/standin/dependency.cpp
@@ -107,8 +107,11 @@
         break;
       case FaultKind::busy: {
         const auto s = std::chrono::duration_cast<std::chrono::seconds>(plan.retry_after).count();
-        co_await say(status("503 Service Unavailable") +
-                     (s ? "Retry-After: " + std::to_string(s) + "\r\n" : "") + "\r\n");
+        // Made before the call: GCC 12 destroys the parts of a conditional in a co_await twice.
+        auto answer = status("503 Service Unavailable");
+        if (s) answer += "Retry-After: " + std::to_string(s) + "\r\n";
+        answer += "\r\n";
+        co_await say(std::move(answer));
         break;
       }
       case FaultKind::reset:
