--- /dev/null
+++ b/examples/try/names.cue
@@ -0,0 +1,2 @@
+// A stand-in for names.example.org.
+phases: [{latency: 8ms}]
--- a/src/announce/announcer.cpp
+++ b/src/announce/announcer.cpp
@@ -27,7 +27,8 @@
       log_(log) {}
 
 void Announcer::report(const edge::Report& report) {
-  if (!mailbox_.post(report)) log_.line("announce: report left out, mailbox full");
+  if (!mailbox_.post(report))
+    log_.line("announce: report left out, mailbox full", {{"event", "report_left_out"}});
 }
 
 void Announcer::move_to(const asio::ip::udp::endpoint& service) { mailbox_.post_control(service); }
@@ -52,7 +53,9 @@
       co_await socket_.async_send_to(asio::buffer(encode(name_, *newest)), service_,
                                      asio::redirect_error(asio::use_awaitable, error));
     // The service may be away for a while: one line when that begins is enough.
-    if (error && !std::exchange(told, true)) log_.line("announce: report not sent: " + error.message());
+    if (error && !std::exchange(told, true))
+      log_.line("announce: report not sent: " + error.message(),
+                {{"event", "report_not_sent"}, {"why", error.message()}});
     if (!error) told = false;
     next = Mailbox<Mail>::Clock::now() + kEvery;
   }
--- a/src/deps/endpoints.cpp
+++ b/src/deps/endpoints.cpp
@@ -19,6 +19,7 @@
 EndpointSet::EndpointSet(const DependencySpec& spec) { change(spec); }
 
 void EndpointSet::change(const DependencySpec& spec) {
+  all_in_ = false;  // looked at by the next pick
   most_ejected_ = spec.most_ejected;
   eject_for_ = spec.eject_for;
   eject_most_ = spec.eject_most;
@@ -55,8 +56,22 @@
 
 std::optional<EndpointSet::Index> EndpointSet::pick(TimePoint now, double random1, double random2,
                                                     std::optional<Index> not_this) {
+  const auto better = [&](Index a, Index b) { return cost(all_[b], now) < cost(all_[a], now) ? b : a; };
+  if (all_in_ && all_.size() > 2) {
+    const auto n = Index(all_.size());
+    // One of those that are not `not_this`, and another one: numbers past the ones left out move up.
+    const auto among = n - (not_this ? 1 : 0);
+    auto first = std::min(Index(random1 * among), among - 1);
+    auto second = std::min(Index(random2 * (among - 1)), among - 2);
+    if (second >= first) ++second;
+    if (not_this && first >= *not_this) ++first;
+    if (not_this && second >= *not_this) ++second;
+    return better(first, second);
+  }
   std::uint32_t eligible = 0;
   std::optional<Index> last_resort;
+  all_in_ = std::all_of(all_.begin(), all_.end(),
+                        [&](const auto& e) { return e.state == State::in && e.held_until <= now; });
   const auto fits = [&](Index i) {
     const auto& e = all_[i];
     return e.state == State::in && e.held_until <= now && i != not_this;
@@ -85,7 +100,7 @@
     if (seen == second) b = i;
     ++seen;
   }
-  return b && cost(all_[*b], now) < cost(all_[*a], now) ? b : a;
+  return b ? better(*a, *b) : *a;
 }
 
 void EndpointSet::started(Index i) { ++all_[i].open; }
@@ -124,6 +139,7 @@
 
 void EndpointSet::eject(Endpoint& e, TimePoint now) {
   e.state = State::ejected;
+  all_in_ = false;
   const auto longer = eject_for_ * (std::int64_t(1) << std::min(e.times_out, kGrowths));
   e.until = now + std::min(longer, eject_most_);
   ++e.times_out;
@@ -136,7 +152,10 @@
   if (e.state == State::half_open) e.state = State::ejected;  // its time is over: the next call tries
 }
 
-void EndpointSet::hold(Index i, TimePoint until) { all_[i].held_until = std::max(all_[i].held_until, until); }
+void EndpointSet::hold(Index i, TimePoint until) {
+  all_in_ = false;
+  all_[i].held_until = std::max(all_[i].held_until, until);
+}
 
 void EndpointSet::all_back(TimePoint now) {
   for (auto& e : all_) {
--- a/src/deps/endpoints.h
+++ b/src/deps/endpoints.h
@@ -56,6 +56,7 @@
   double cost(const Endpoint& e, TimePoint now) const;
   void eject(Endpoint& e, TimePoint now);
   std::vector<Endpoint> all_;
+  bool all_in_ = true;  // none out, held or gone: a candidate is found without a search
   double most_ejected_ = 0.5;
   Duration eject_for_{}, eject_most_{}, slow_start_{};
 };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -224,7 +224,7 @@
 
 // A command the kernel would not carry out must not strand its request: the run is over, with an error.
 void Edge::on(const CommandRejected& rejected) {
-  remark("kernel rejected a command for request " + rejected.rid);
+  remark("kernel rejected a command for request " + rejected.rid, "kernel_rejected", rejected.rid);
   const auto it = by_rid_.find(rejected.rid);
   if (it == by_rid_.end() || rejected.kind == CommandKind::stop) return;
   const auto id = it->second;
@@ -357,7 +357,7 @@
 void Edge::apply(const SetTimer& a) {
   timers_.push({now_.steady + std::max(a.after, Duration(1)), timer_order_++, a.token});
 }
-void Edge::apply(const Log& a) { remark("module: " + a.text); }
+void Edge::apply(const Log& a) { remark("module: " + a.text, "module"); }
 
 // ---- Calls below ----
 
@@ -415,9 +415,10 @@
       ended_gathers_.push_back(*ended);
     } else if (const auto* changed = std::get_if<deps::DependencyChanged>(&action)) {
       const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(changed->after).count();
-      remark(gatherer_->dependency(changed->dependency).name +
-             (changed->out ? " is out: going on without it, and probing"
-                           : " is back after " + std::to_string(ms) + " ms"));
+      const auto& name = gatherer_->dependency(changed->dependency).name;
+      remark(name + (changed->out ? " is out: going on without it, and probing"
+                                  : " is back after " + std::to_string(ms) + " ms"),
+             changed->out ? "dependency_out" : "dependency_back", name);
     }
   }
   gatherer_->clear_actions();
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -108,7 +108,9 @@
   void settle_follower(RequestId id, KeyTable::RunState state, const Result& result);
   void finish_run(RequestId id, RunResult how, Duration took, Result result);
   void report_health();
-  void remark(std::string text) { out_.emplace_back(Remark{std::move(text)}); }
+  void remark(std::string text, std::string_view event, std::string subject = {}) {
+    out_.emplace_back(Remark{std::move(text), event, std::move(subject)});
+  }
   template <class C>
   void command(C c) {
     out_.emplace_back(Command(std::move(c)));
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -174,6 +174,8 @@
 };
 struct Remark {
   std::string text;
+  std::string_view event;  // in a word, and whom it is about: for lines that machines read
+  std::string subject;
 };
 using Output =
     std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow, DropCall>;
--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -106,13 +106,14 @@
       continue;
     }
     if (end.reach == Reach::up) {
-      log_.line("kernel link lost: " + end.why);
+      log_.line("kernel link lost: " + end.why, {{"event", "kernel_lost"}, {"why", end.why}});
       pause = kFirstRetry;
       told = false;
     } else if (!std::exchange(told, true)) {
       log_.line((end.reach == Reach::opened ? "kernel link ended before it was up, trying on: "
                                             : "kernel not reached, trying on: ") +
-                end.why);
+                    end.why,
+                {{"event", "kernel_not_reached"}, {"why", end.why}});
     }
     retry_.expires_after(pause);
     error_code woken;
@@ -174,7 +175,10 @@
   if (!ledger_.take(notice)) co_return;
   if (const auto* booted = std::get_if<edge::Booted>(&notice.what)) {
     log_.line(std::string("kernel up: ") + (booted->cold ? "cold" : "warm") + ", started " +
-              std::to_string(booted->ago.count()) + " ms ago");
+                  std::to_string(booted->ago.count()) + " ms ago",
+              {{"event", "kernel_up"},
+               {"cores", booted->cold ? "cold" : "warm"},
+               {"ago_ms", std::int64_t(booted->ago.count())}});
     encode_ask(kFenceTag, outgoing_);
     flush();
     co_await hand_in(*booted);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -46,7 +46,7 @@
       continue;
     }
     if (door_closed_) break;
-    log_.line("accept: " + error.message());
+    log_.line("accept: " + error.message(), {{"event", "accept_failed"}, {"why", error.message()}});
     if (error == asio::error::no_descriptors) make_room();
     retry_.expires_after(kAcceptRetry);
     co_await retry_.async_wait(asio::redirect_error(asio::use_awaitable, error));
@@ -57,7 +57,7 @@
 // client goes elsewhere sooner than from a backlog that waits.
 void Listener::admit(tcp::socket socket) {
   if (peers_.size() < most_peers_ || make_room()) return start_peer(std::move(socket));
-  log_.line("accept: closed at once, every connection is in use");
+  log_.line("accept: closed at once, every connection is in use", {{"event", "accept_full"}});
 }
 
 asio::awaitable<void> Listener::mind_peers() {
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -58,7 +58,8 @@
     co_await (read() && write());
     co_await linger();
   } catch (const std::exception& e) {
-    log_.line(std::string("connection dropped: ") + e.what());
+    log_.line(std::string("connection dropped: ") + e.what(),
+              {{"event", "connection_dropped"}, {"why", e.what()}});
   }
   close();
   if (!open_.empty()) module_.post_control(edge::PeerGone{id_});
@@ -132,7 +133,7 @@
 
 // An error that belongs to no request ends the connection, once what is open on it is answered.
 bool Peer::fault(std::string why) {
-  log_.line("bad connection: " + why);
+  log_.line("bad connection: " + why, {{"event", "bad_connection"}, {"why", why}});
   deliver(StreamError{std::move(why)});
   finishing_ = true;
   return false;
@@ -147,30 +148,30 @@
 }
 
 bool Peer::take(frames::Message message) {
-  return std::visit(Overloaded{[&](edge::Request& request) {
-                                 const auto stream = request.from.stream;
-                                 if (!claim(stream)) return false;
-                                 bad_in_a_row_ = 0;
-                                 const bool room = open_.size() < frames::kMaxOpen;
-                                 open_.insert(stream);
-                                 if (!room || !module_.post(std::move(request))) turn_away(stream);
-                                 return true;
-                               },
-                               [&](edge::HealthCheck& check) {
-                                 if (!module_.post(check))
-                                   deliver(edge::HealthAnswer{check.from, false, hint_});
-                                 return true;
-                               },
-                               [&](frames::BadRequest& bad) {
-                                 if (!claim(bad.stream)) return false;
-                                 log_.line("bad request: " + bad.why);
-                                 open_.insert(bad.stream);
-                                 turn_away(bad.stream);
-                                 // Guards against one that sends the same again as soon as it is turned away.
-                                 return ++bad_in_a_row_ < kBadInARow || fault("too many bad requests");
-                               },
-                               [&](frames::BadStream& bad) { return fault(std::move(bad.why)); }},
-                    message);
+  return std::visit(
+      Overloaded{[&](edge::Request& request) {
+                   const auto stream = request.from.stream;
+                   if (!claim(stream)) return false;
+                   bad_in_a_row_ = 0;
+                   const bool room = open_.size() < frames::kMaxOpen;
+                   open_.insert(stream);
+                   if (!room || !module_.post(std::move(request))) turn_away(stream);
+                   return true;
+                 },
+                 [&](edge::HealthCheck& check) {
+                   if (!module_.post(check)) deliver(edge::HealthAnswer{check.from, false, hint_});
+                   return true;
+                 },
+                 [&](frames::BadRequest& bad) {
+                   if (!claim(bad.stream)) return false;
+                   log_.line("bad request: " + bad.why, {{"event", "bad_request"}, {"why", bad.why}});
+                   open_.insert(bad.stream);
+                   turn_away(bad.stream);
+                   // Guards against one that sends the same again as soon as it is turned away.
+                   return ++bad_in_a_row_ < kBadInARow || fault("too many bad requests");
+                 },
+                 [&](frames::BadStream& bad) { return fault(std::move(bad.why)); }},
+      message);
 }
 
 // Guards against a reset that takes the last answers with it: closing with bytes unread sends one. What comes
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -106,7 +106,7 @@
   } else if (const auto* idle = std::get_if<edge::CloseIdlePeers>(&output)) {
     listener_.close_idle(idle->idle_for);
   } else if (const auto* remark = std::get_if<edge::Remark>(&output)) {
-    log_.line(remark->text);
+    log_.line(remark->text, {{"event", remark->event}, {"subject", remark->subject}});
   } else if (auto* call = std::get_if<edge::CallBelow>(&output)) {
     if (caller_) caller_->start(std::move(*call));
   } else if (const auto* drop = std::get_if<edge::DropCall>(&output)) {
@@ -116,14 +116,16 @@
 
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
-  log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left");
+  log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left",
+            {{"event", "leaving"}, {"left_ms", std::int64_t(config_.stop.count())}});
   module_.mailbox().post_control(edge::Drain{config_.stop});
   spawn(leave());
 }
 
 void Server::reload(const std::variant<config::Config, config::Problem>& loaded) {
   if (const auto* problem = std::get_if<config::Problem>(&loaded))
-    return log_.line("reload: keeping the old configuration: " + problem->what);
+    return log_.line("reload: keeping the old configuration: " + problem->what,
+                     {{"event", "reload_refused"}, {"why", problem->what}});
   const auto& fresh = std::get<config::Config>(loaded);
   boost::system::error_code error;
   const auto kernel = address<asio::ip::tcp>(fresh.kernel, error);
@@ -140,9 +142,12 @@
   config_.kernel = fresh.kernel;
   config_.announce = fresh.announce;
   config_.stop = fresh.stop;
-  log_.line("reload: kernel at " + text_of(fresh.kernel) + ", announce service at " +
-            text_of(fresh.announce));
-  if (!fixed.empty()) log_.line("reload: changed but kept until a restart: " + fixed);
+  log_.line(
+      "reload: kernel at " + text_of(fresh.kernel) + ", announce service at " + text_of(fresh.announce),
+      {{"event", "reloaded"}, {"kernel", text_of(fresh.kernel)}, {"announce", text_of(fresh.announce)}});
+  if (!fixed.empty())
+    log_.line("reload: changed but kept until a restart: " + fixed,
+              {{"event", "reload_kept"}, {"kept", fixed}});
   link_.move_to(kernel);
   announcer_.move_to(service);
 }
@@ -158,7 +163,8 @@
   if (const auto errors = operators::bind(fresh, config_.catalog); !errors.empty()) return keep(errors);
   if (!extras_.declared) return;
   if (fresh.connections != extras_.declared->connections)
-    log_.line("reload: changed but kept until a restart: connections");
+    log_.line("reload: changed but kept until a restart: connections",
+              {{"event", "reload_kept"}, {"kept", "connections"}});
   const auto connections = extras_.declared->connections;
   extras_.declared = std::move(fresh);
   extras_.declared->connections = connections;
@@ -184,7 +190,9 @@
     co_await timer.async_wait(asio::use_awaitable);
     if (Clock::now() >= crossed && module_.at_rest() && listener_.at_rest()) break;
   }
-  log_.line(module_.at_rest() && listener_.at_rest() ? "left: all answered" : "left: with answers unsent");
+  const bool all = module_.at_rest() && listener_.at_rest();
+  log_.line(all ? "left: all answered" : "left: with answers unsent",
+            {{"event", all ? "left" : "left_unsent"}});
   if (caller_) caller_->close_all();
   context_.stop();
 }
