SIGHUP with a broken operator's file is tested on the running process

Need: the reload of the operator's file was played through the server only. Result: the old file stays in force, the kernel's address moves, the process ends with status 0.

--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -319,6 +319,9 @@
 
 // The process as the platform starts it. Guards against a signal that nothing handles, which ends it.
 TEST_CASE("SIGHUP moves the running process to a new kernel, and a bad file leaves it where it is") {
+  bool with_operator = false;
+  SUBCASE("as the platform starts it") {}
+  SUBCASE("with an operator's file") { with_operator = true; }
   asio::io_context io;
   const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
   tcp::acceptor kernel(io, any);
@@ -330,9 +333,13 @@
   ::close(fd);
   const auto write = [&](const std::string& text) { std::ofstream(path, std::ios::binary) << text; };
   write(fill(json, kernel, announce));
+  const auto declared = std::string(path) + ".cue";
+  std::ofstream(declared) << "version: 1\ndependencies: []\ngathers: []\n";
   const auto process = ::fork();
   if (process == 0) {
     ::setenv("EDGE_CONFIG", path, 1);
+    if (with_operator)
+      ::execl(PROGRAM, PROGRAM, "serve", "--log", "json", "--operator", declared.c_str(), nullptr);
     ::execl(PROGRAM, PROGRAM, nullptr);
     ::_exit(127);
   }
@@ -345,6 +352,7 @@
   };
   const auto first = opened();
   write("{");
+  std::ofstream(declared) << "version: ";
   ::kill(process, SIGHUP);
   kernel = tcp::acceptor(io, any);
   write(fill(json, kernel, announce));
@@ -356,6 +364,7 @@
   CHECK(::waitpid(process, &status, 0) == process);
   CHECK(status == 0);
   std::filesystem::remove(path);
+  std::filesystem::remove(declared);
 }
 
 TEST_CASE("recorded exchanges") {
