--- a/src/main.cpp
+++ b/src/main.cpp
@@ -68,6 +68,16 @@
     if (const auto errors = operators::bind(*extras.declared, config.catalog); !errors.empty())
       return tell(errors);
   }
+  // Guards against gathers that wait until they are due for a leave that the module can never give.
+  const auto& settings = config.parsed.settings;
+  if (extras.declared && !extras.declared->spec.gathers.empty() && settings.downstream != Downstream::none &&
+      settings.call_share.value_or(0) <= 0) {
+    std::fprintf(stderr,
+                 "granitegap: %s: the platform's settings allow no calls: expected downstream none, or a "
+                 "call_share above 0\n",
+                 options.operator_file.c_str());
+    return kUnusable;
+  }
   try {
     boost::asio::io_context context(1);
     Server server(context, std::move(config), std::move(extras));
