Accessors that nothing uses are gone; an open request is begun by its fields' names

Need: a read of the whole change found members without a caller and a list of nameless values. Change: they are removed; designated initializers. Behaviour is the same.

--- a/src/deps/endpoints.h
+++ b/src/deps/endpoints.h
@@ -40,8 +40,6 @@
   const EndpointSpec& address(Index i) const { return all_[i].address; }
   bool ejected(Index i) const { return all_[i].state != State::in; }
   std::size_t count_out() const;
-  std::size_t size() const { return all_.size(); }
-  std::uint32_t open(Index i) const { return all_[i].open; }
 
  private:
   enum class State : std::uint8_t { in, ejected, half_open, gone };
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -100,11 +100,6 @@
   return i < loaded_->gather_of.size() && loaded_->gather_of[i] >= 0;
 }
 
-Duration Gatherer::budget(ClassId cls) const {
-  return gathers(cls) ? loaded_->spec->gathers[std::size_t(loaded_->gather_of[std::size_t(cls)])].budget
-                      : Duration{};
-}
-
 Gatherer::Slot Gatherer::find_gather(RequestId id) const {
   return by_request_.find(hash_of(id), [&](Slot s) { return gathers_[s].id == id; });
 }
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -100,7 +100,6 @@
   // timeout but the budget's end.
   Gatherer(std::shared_ptr<const Spec> spec, std::uint64_t seed, bool guarded = true);
   bool gathers(ClassId cls) const;
-  Duration budget(ClassId cls) const;
 
   struct Facts {
     std::uint64_t obj = 0;
--- a/src/deps_http/caller.h
+++ b/src/deps_http/caller.h
@@ -27,7 +27,6 @@
   // Closes its connection: what is half read can't carry another call.
   void abandon(deps::CallId id);
   void close_all();  // calls and idle connections; nothing is reported or started after it
-  void set_most(std::size_t most_connections) { most_ = most_connections; }
   std::size_t open_calls() const { return calls_.size(); }
   std::size_t connections() const { return connections_; }
   // Closes connections idle for too long; forever, until close_all().
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -85,18 +85,11 @@
   arrived.repeats = keys_.arrive(request, id, batch_);
   by_rid_.emplace(request.rid, id);
   by_peer_[request.from.peer].push_back(id);
-  open_.emplace(id, Open{std::move(request),
-                         now_.steady,
-                         Work::held,
-                         false,
-                         false,
-                         false,
-                         past_grace(),
-                         arrived.repeats,
-                         {},
-                         false,
-                         {},
-                         {}});
+  const bool too_late = past_grace();
+  open_.emplace(id, Open{.request = std::move(request),
+                         .since = now_.steady,
+                         .too_late = too_late,
+                         .repeats = arrived.repeats});
   ++unanswered_;
   events_.emplace_back(arrived);
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -28,7 +28,6 @@
   // the kernel's result and the parts.
   using Compose = std::function<Product(std::string result, const std::vector<GatheredPart>& parts)>;
   void declare(std::shared_ptr<const deps::Spec> spec, Compose compose, bool guarded = true);
-  const deps::Gatherer* gatherer() const { return gatherer_ ? &*gatherer_ : nullptr; }
 
   // All that came since the last step, in order; what is to be done now, in order.
   std::vector<Output> step(Now now, std::vector<Input> inputs);
@@ -46,10 +45,10 @@
     Work work = Work::held;
     bool ran = false, answered = false, stopped = false;  // stopped: a run of it was, once
     bool too_late = false;  // read so long after the notice to leave that it must not run
-    std::optional<RequestId> repeats;
-    std::vector<RequestId> followers;  // repeats that wait for this one's result
-    bool calling = false;              // its gather has begun
-    std::vector<GatheredPart> parts;   // that it gathered, before its run
+    std::optional<RequestId> repeats{};
+    std::vector<RequestId> followers{};  // repeats that wait for this one's result
+    bool calling = false;                // its gather has begun
+    std::vector<GatheredPart> parts{};   // that it gathered, before its run
     TimePoint gathered{};
   };
   struct Timer {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -37,7 +37,6 @@
   void reload(std::variant<operators::Declared, operators::Errors> loaded);
   boost::asio::ip::tcp::endpoint local() const { return listener_.local(); }
   edge::ModuleActor& module() { return module_; }
-  std::size_t open_calls() const { return caller_ ? caller_->open_calls() : 0; }
 
  private:
   void spawn(boost::asio::awaitable<void> actor);
--- a/tests/deps_world.h
+++ b/tests/deps_world.h
@@ -13,7 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-inline std::string place(const std::string& host, unsigned port) { return host + ":" + std::to_string(port); }
 
 class World {
  public:
