--- a/bench/dependencies.cpp
+++ b/bench/dependencies.cpp
@@ -415,7 +415,8 @@
 Json figures(const standin::Scenario& s, const std::vector<Arrival>& arrivals, const Played& played) {
   double worth = 0, fault_worth = 0, other_worth = 0;
   int whole = 0, partial = 0, late = 0, unanswered = 0, refused = 0, failed = 0;
-  double parts_asked = 0;
+  // Of the requests with parts that came while the fault lasted: all, served, served with parts missing.
+  double parts_asked = 0, asked_in_fault = 0, served_in_fault = 0, partial_in_fault = 0;
   std::vector<double> ms;
   std::vector<std::pair<Duration, bool>> gathered;  // when it arrived, whether it was served whole
   for (std::size_t i = 0; i < arrivals.size(); ++i) {
@@ -431,6 +432,11 @@
     refused += answer.code == 1;
     failed += answer.code == 2;
     const bool served = answer.code == 0;
+    if (c.parts && in_fault) {
+      ++asked_in_fault;
+      served_in_fault += served;
+      partial_in_fault += served && answer.missing;
+    }
     if (c.parts) {
       gathered.emplace_back(a.at, served && answer.parts && !answer.missing);
       whole += served && !answer.missing;
@@ -466,6 +472,8 @@
           {"other_worth", rounded(other_worth, 0.1)},
           {"whole", whole},
           {"partial", partial},
+          {"fault_served_share", rounded(served_in_fault / std::max(asked_in_fault, 1.0), 0.001)},
+          {"fault_partial_share", rounded(partial_in_fault / std::max(asked_in_fault, 1.0), 0.001)},
           {"late", late},
           {"refused", refused},
           {"failed", failed},
