The simulator's wire and the reader of settings get folders of their own

Need: loose files in src/ belonged to two concerns that had no folder.

Change: src/simulator (adapter, wire, drill) and src/settings; nothing in them but the includes.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "edge/types.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace granitegap::config {
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -16,7 +16,7 @@
 #include "edge/keys.h"
 #include "edge/types.h"
 #include "granitegap/policy.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace granitegap::edge {
 
--- a/src/adapter.cpp
+++ b/src/simulator/adapter.cpp
@@ -1,10 +1,10 @@
-#include "adapter.h"
+#include "simulator/adapter.h"
 
 #include <algorithm>
 #include <istream>
 #include <ostream>
 
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace granitegap {
 namespace {
--- a/src/adapter.h
+++ b/src/simulator/adapter.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "granitegap/policy.h"
-#include "wire.h"
+#include "simulator/wire.h"
 
 namespace granitegap {
 
--- a/src/drill.cpp
+++ b/src/simulator/drill.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "adapter.h"
+#include "simulator/adapter.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/wire.cpp
+++ b/src/simulator/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "simulator/wire.h"
 
 #include <algorithm>
 #include <bit>
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "settings/settings.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "simulator/wire.h"
 
 #include <gtest/gtest.h>
 
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <sstream>
 
-#include "adapter.h"
+#include "simulator/adapter.h"
 
 namespace granitegap {
 namespace {
