--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -70,6 +70,43 @@
 	parts:  list.MinItems(1) & list.MaxItems(32) & [...#Part]
 }
 
+// Who else of the fleet is there: docs/membership-operators.md.
+#Membership: {
+	// Only members of one cluster hear each other.
+	cluster: strings.MinRunes(1) & strings.MaxRunes(64)
+	// The UDP address to listen on, and the one that others are told, where that differs.
+	bind:       strings.MinRunes(1)
+	advertise?: strings.MinRunes(1)
+	// Members to begin with: numeric addresses, nothing is looked up. Its own may be among them.
+	seeds: list.MaxItems(64) & [...string]
+	// Machines that fail together share a zone.
+	zone: strings.MaxRunes(32) | *""
+
+	// One probe of the round each; most other times are multiples of it.
+	period: duration & >=20ms & <=60s | *500ms
+	// A probe counts as late no sooner than this, however quick its peer has been.
+	late_least: duration & >=1ms & <=10s | *20ms
+	// Members asked to probe for one that did not answer.
+	indirect: int & >=1 & <=10 | *3
+	// Least time from suspect to dead: so many periods times the decimal logarithm of the fleet's size. And how
+	// many times that while nobody confirms, and how many confirmations bring it down.
+	suspicion:      >=1 & <=20 | *2
+	suspicion_most: >=1 & <=20 | *5
+	confirmations:  int & >=1 & <=5 | *3
+	// How often an update is sent on: so many times the decimal logarithm of the fleet's size.
+	spread: int & >=1 & <=10 | *4
+	// This part of the fleet silent at once makes the view uncertain: nobody is removed.
+	mass_share: >=0.05 & <=1 | *0.3
+	// How long a majority must hold a member dead until the fleet counts as smaller; until it is forgotten; and
+	// how late a datagram may come and still be believed, half of that at the most.
+	shrink_after: duration & >=1s & <=24h | *30s
+	forget_after: duration & >=2s & <=168h | *2m
+	believe_for:  duration & >=1s & <=1h | *20s
+	// The fleet's least size, where it is known: a part that starts alone then sees no majority. 0: not known.
+	expected:     int & >=0 & <=100000 | *0
+	members_most: int & >=2 & <=100000 | *10000
+}
+
 #Operator: {
 	version: 1
 	dependencies: list.MaxItems(64) & [...#Dependency]
@@ -80,4 +117,5 @@
 	remember_failures: duration & >=0ms & <=60s | *200ms
 	// Descriptors for calls, idle connections included; they come off the platform's limit.
 	connections: int & >=1 & <=4096 | *128
+	membership?: #Membership
 }
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -24,7 +24,8 @@
       endpoints(s),
       limit(s.least_open, s.most_open),
       budget(s.retry_share, s.retry_burst),
-      outage(s.probe_every, s.probe_most) {}
+      outage(s.probe_every, s.probe_most),
+      fleet_key(membership::name_hash(s.name)) {}
 
 void Gatherer::Dependency::heard(Duration took, TimePoint now) {
   latency.add(took, now);
@@ -172,7 +173,8 @@
   if (guarded_) {
     if (failed_lately(part.key, now)) return ladder(slot, number, now);
     if (dep.outage.out()) {
-      if (dep.outage.may_probe(now)) probe(d, part.key, path_, now);
+      if (dep.outage.may_probe(now) && (!fleet_ || membership::probes_itself(*fleet_, dep.fleet_key)))
+        probe(d, part.key, path_, now);
       return ladder(slot, number, now);
     }
   }
@@ -573,10 +575,29 @@
   flights_[slot].path = path;
   flights_[slot].detached = true;
   deps_[dependency].outage.probe_started();
+  deps_[dependency].probed_at = now;
   ++totals_.probes;
   start_try(slot, now);
 }
 
+// Other members may be probing it; one of them that has found it back is taken at its word for one try.
+void Gatherer::fleet(std::shared_ptr<const membership::View> view, TimePoint now) {
+  fleet_ = std::move(view);
+  for (auto& d : deps_)
+    if (d.outage.out() && membership::told_back(*fleet_, d.fleet_key)) d.outage.probe_now(now);
+}
+
+std::vector<membership::Finding> Gatherer::findings(TimePoint now) const {
+  std::vector<membership::Finding> found;
+  if (!fleet_) return found;
+  for (const auto& d : deps_) {
+    const auto recent = [&](TimePoint t) { return t != TimePoint{} && now - t < 4 * d.spec.probe_most; };
+    if (recent(d.probed_at) && found.size() < membership::kMostFindings)
+      found.push_back({d.fleet_key, d.outage.out()});
+  }
+  return found;
+}
+
 bool Gatherer::failed_lately(const Key& key, TimePoint now) const {
   const auto& f = failures_[std::size_t(key.low % kFailures)];
   return f.key == key && now < f.until;
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -38,6 +38,7 @@
 #include "deps/path_template.h"
 #include "deps/slot_index.h"
 #include "deps/spec.h"
+#include "membership/views.h"
 
 namespace granitegap::deps {
 
@@ -122,6 +123,10 @@
   // dependencies and endpoints that stay is kept.
   void change(std::shared_ptr<const Spec> spec, TimePoint now);
 
+  // Where there is a fleet: one member probes a dependency that is out for all, and says what it finds.
+  void fleet(std::shared_ptr<const membership::View> view, TimePoint now);
+  std::vector<membership::Finding> findings(TimePoint now) const;
+
   const EndpointSpec& address(std::uint32_t dependency, std::uint32_t endpoint) const {
     return deps_[dependency].endpoints.address(endpoint);
   }
@@ -203,6 +208,8 @@
     std::uint32_t since_usual = 0;
     void heard(Duration took, TimePoint now);
     const Usual& usual_now(TimePoint now);
+    std::uint64_t fleet_key = 0;  // its name to other members
+    TimePoint probed_at{};
     std::uint32_t open = 0, waiting = 0;
     Slot oldest = kNone, newest = kNone;  // of those that wait
   };
@@ -220,6 +227,7 @@
     bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
+  std::shared_ptr<const membership::View> fleet_;
   std::shared_ptr<const Loaded> load(std::shared_ptr<const Spec> spec, TimePoint now);
   const GatherSpec& what(const Gather& g) const { return g.loaded->spec->gathers[g.which]; }
   Slot find_gather(RequestId id) const;
--- a/src/deps/limits.h
+++ b/src/deps/limits.h
@@ -1,5 +1,6 @@
 // How much may be asked of one dependency: how many calls at once, and how many tries beyond the first.
 #pragma once
+#include <algorithm>
 #include <cstdint>
 
 #include "granitegap/policy.h"
@@ -62,6 +63,7 @@
   // While out: whether a probe may start now. Only one is open until its end is told.
   bool may_probe(TimePoint now) const { return out_ && !probing_ && now >= next_probe_; }
   void probe_started() { probing_ = true; }
+  void probe_now(TimePoint now) { next_probe_ = std::min(next_probe_, now); }  // somebody found it back
   void probe_lost() { probing_ = false; }  // abandoned, its end unknown
   TimePoint since() const { return since_; }
   void reset(Duration probe_every, Duration probe_most);
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -187,6 +187,7 @@
   if (module_) return;
   settings_.settings.cold = booted.cold;
   const auto born = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
+  born_ = born;
   module_.emplace(settings_.settings, seed_, born);
   for (const auto& action : module_->start()) std::visit([&](const auto& a) { apply(a); }, action);
   report_health();
@@ -296,10 +297,19 @@
   auto* o = find(a.id);
   if (!o) return;
   // 'Refused' promises that this try never ran.
-  answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr, a.keep_off, a.do_not_try_elsewhere);
+  answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr, keep_off(a.keep_off),
+         a.do_not_try_elsewhere);
   drop_work(a.id, *o);
 }
 
+// The module's advice, spread in time while part of the fleet is missing.
+Duration Edge::keep_off(Duration advised) {
+  if (!fleet_ || fleet_->missing <= 0) return advised;
+  const auto most = settings_.settings.max_advice.value_or(advised);
+  return membership::spread_backoff(advised, most, fleet_->missing,
+                                    std::uniform_real_distribution<double>(0, 1)(fleet_->random));
+}
+
 void Edge::apply(const Fail& a) {
   auto* o = find(a.id);
   if (!o) return;
@@ -393,6 +403,32 @@
   pass_on_calls();
 }
 
+// ---- The fleet ----
+
+void Edge::on(const FleetNews& news) {
+  if (!news.view) return;
+  if (!fleet_) fleet_ = std::make_unique<Fleet>(Fleet{news.view, 0, std::mt19937_64(seed_)});
+  fleet_->view = news.view;
+  // Without a majority the missing may be this one: its advice stays as it is.
+  fleet_->missing = news.view->majority ? membership::missing_share(*news.view) : 0;
+  if (gatherer_) gatherer_->fleet(news.view, now_.steady);
+}
+
+Edge::Standing Edge::standing(TimePoint now) const {
+  Standing s;
+  if (gatherer_) s.findings = gatherer_->findings(now);
+  if (hint_) s.pressed = std::uint8_t(std::clamp(100 / (1 + std::max(*hint_, 0.0)), 0.0, 100.0));
+  if (!module_) return s;
+  const double warm_up = double(settings_.settings.warm_up.value_or(std::chrono::seconds(60)).count());
+  const double part =
+      settings_.settings.cold.value_or(true) ? double((now - born_).count()) / std::max(warm_up, 1.0) : 1;
+  s.warmth = std::uint8_t(100 * std::clamp(part, 0.0, 1.0));
+  s.stage = drain_from_      ? membership::Stage::draining
+            : s.warmth < 100 ? membership::Stage::warming
+                             : membership::Stage::serving;
+  return s;
+}
+
 // At once, as a call's path is only lent. Ends of gathers wait for the next round: they may end requests that
 // whoever is at work here still holds.
 void Edge::pass_on_calls() {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <queue>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +36,13 @@
   // Nothing is owed: no request here waits for its answer.
   bool owes_nothing() const { return unanswered_ == 0; }
   std::size_t open_requests() const { return open_.size(); }
+  // What this process may say of itself to its fleet.
+  struct Standing {
+    membership::Stage stage = membership::Stage::starting;
+    std::uint8_t warmth = 0, pressed = 0;  // in 100
+    std::vector<membership::Finding> findings;
+  };
+  Standing standing(TimePoint now) const;
 
  private:
   // gathering: the module let it run, and what it needs from below is asked for first.
@@ -71,6 +79,7 @@
   void on(const DeepCheckDone& done);
   void on(const deps::CallReport& report);
   void on(const NewDeclaration& fresh);
+  void on(const FleetNews& news);
   void fire_timers();
 
   void apply(const Run& a);
@@ -107,6 +116,7 @@
   void settle_follower(RequestId id, KeyTable::RunState state, const Result& result);
   void finish_run(RequestId id, RunResult how, Duration took, Result result);
   void report_health();
+  Duration keep_off(Duration advised);
   void remark(std::string text, std::string_view event, std::string subject = {}) {
     out_.emplace_back(Remark{std::move(text), event, std::move(subject)});
   }
@@ -135,6 +145,13 @@
   TimePoint gauges_at_, swept_at_;
   std::optional<double> hint_;
   std::optional<UnixTime> drain_from_;
+  struct Fleet {
+    std::shared_ptr<const membership::View> view;
+    double missing = 0;
+    std::mt19937_64 random;
+  };
+  std::unique_ptr<Fleet> fleet_;  // where membership is declared
+  TimePoint born_{};              // the kernel
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
   std::size_t unanswered_ = 0;
--- a/src/edge/module_actor.h
+++ b/src/edge/module_actor.h
@@ -19,6 +19,7 @@
               Dispatch dispatch, Clocks clocks = read_clocks);
   boost::asio::awaitable<void> run();
   Mailbox<Input>& mailbox() { return mailbox_; }
+  const Edge& edge() const { return edge_; }
   // Nothing waits in the mailbox and no request waits for its answer.
   bool at_rest() const { return mailbox_.empty() && edge_.owes_nothing(); }
 
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -11,6 +11,7 @@
 
 #include "deps/gatherer.h"
 #include "granitegap/policy.h"
+#include "membership/views.h"
 
 namespace granitegap::edge {
 
@@ -115,6 +116,9 @@
 struct NewDeclaration {  // of the services below; takes the place of the one in force
   std::shared_ptr<const deps::Spec> spec;
 };
+struct FleetNews {  // who else is there, by the newest view
+  std::shared_ptr<const membership::View> view;
+};
 struct GatheredPart {
   std::string name;
   deps::PartStatus status = deps::PartStatus::absent;
@@ -163,7 +167,7 @@
 
 using Input =
     std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
-                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration>;
+                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,9 @@
 #include <cstdlib>
 #include <exception>
 #include <functional>
+#include <thread>
 
+#include "membership_udp/ask.h"
 #include "server/server.h"
 
 namespace granitegap {
@@ -18,7 +20,7 @@
 struct Options {
   std::string operator_file;
   LogForm log = LogForm::text;
-  bool plain = false;
+  bool plain = false, plain_membership = false;
 };
 
 int tell(const operators::Errors& errors) {
@@ -68,6 +70,8 @@
     if (const auto errors = operators::bind(*extras.declared, config.catalog); !errors.empty())
       return tell(errors);
   }
+  if (extras.declared && extras.declared->membership)
+    extras.declared->membership->options.plain = options.plain_membership;
   // Guards against gathers that wait until they are due for a leave that the module can never give.
   const auto& settings = config.parsed.settings;
   if (extras.declared && !extras.declared->spec.gathers.empty() && settings.downstream != Downstream::none &&
@@ -102,6 +106,29 @@
   return 0;
 }
 
+// Asks a process for its view; again and again where it is to be watched.
+int members(const std::string& text, bool json, bool watch) {
+  const auto address = operators::read_address(text);
+  if (!address) {
+    std::fprintf(stderr, "granitegap: %s: expected a numeric address and a port, as 127.0.0.1:9101\n",
+                 text.c_str());
+    return kUnusable;
+  }
+  for (;;) {
+    const auto reply = membership_udp::ask(*address, std::chrono::seconds(2));
+    if (!reply) {
+      std::fprintf(stderr, "granitegap: no answer from %s within 2 s\n", text.c_str());
+      return 1;
+    }
+    std::fputs(
+        json ? (membership_udp::to_json(*reply) + "\n").c_str() : membership_udp::to_text(*reply).c_str(),
+        stdout);
+    std::fflush(stdout);
+    if (!watch) return 0;
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+  }
+}
+
 int run(int argc, char** argv) {
   if (argc == 1) return serve({});  // as the platform starts it
   CLI::App app("A tile server that decides for itself what it takes, runs and turns away.", "granitegap");
@@ -120,16 +147,25 @@
   serving->add_option("--operator", options.operator_file, "The operator's own file; docs/operators-file.md");
   serving->add_flag("--plain-calls", options.plain,
                     "Call without budgets, limits or breakers: only to measure what these are worth");
+  serving->add_flag("--plain-membership", options.plain_membership,
+                    "Probe without helpers, suspicion or refutation: only to measure what these are worth");
   add_log(*serving);
   std::string file;
   auto* checking =
       app.add_subcommand("check", "Print an operator's file with its defaults, or all that is wrong with it");
   checking->add_option("FILE", file, "The file")->required();
+  std::string asked;
+  bool json = false, watch = false;
+  auto* asking = app.add_subcommand("members", "Show the fleet as the process at ADDRESS sees it");
+  asking->add_option("ADDRESS", asked, "What its operator's file declares as membership.bind")->required();
+  asking->add_flag("--json", json, "One JSON object");
+  asking->add_flag("--watch", watch, "Every second, until ended");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : kUnusable;
   }
+  if (*asking) return members(asked, json, watch);
   return *checking ? check(file) : serve(options);
 }
 
--- /dev/null
+++ b/src/membership/datagram.h
@@ -0,0 +1,93 @@
+// The datagrams of the membership protocol as values, and how large they may become on the wire.
+#pragma once
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership/types.h"
+
+namespace granitegap::membership {
+
+// In every datagram. `sent_ms` counts on the sender's steady clock from the start of its life: it tells a
+// replayed or long delayed datagram from a new one without clocks that agree.
+struct Sender {
+  std::string name;
+  Address address;  // where it is reached: what it advertises
+  Life life{};
+  Incarnation incarnation = 0;
+  std::uint32_t sent_ms = 0;
+  bool operator==(const Sender&) const = default;
+};
+
+// Are you there? `target` is empty where only an address is known; whoever else is there does not answer for
+// it. `for_other`: on behalf of `asker`, to whom the answer is passed on.
+struct Ping {
+  std::uint32_t nonce = 0;
+  std::string target;
+  std::string asker;
+  bool operator==(const Ping&) const = default;
+};
+// `heard_ms`: since the answering one last heard the asker itself, without a relay; unknown: the most.
+inline constexpr std::uint32_t kNeverHeard = 0xffffffffu;
+struct Ack {
+  std::uint32_t nonce = 0;
+  std::uint32_t heard_ms = kNeverHeard;
+  bool operator==(const Ack&) const = default;
+};
+// Ask `target` for me.
+struct Ask {
+  std::uint32_t nonce = 0;
+  std::string target;
+  Address address;
+  bool operator==(const Ask&) const = default;
+};
+// `target` answered whom I asked for you.
+struct Relayed {
+  std::uint32_t nonce = 0;
+  std::string target;
+  std::uint32_t heard_ms = kNeverHeard;
+  bool operator==(const Relayed&) const = default;
+};
+// I have your Ask, and nothing from the target yet: says that the asker's own link works.
+struct Nack {
+  std::uint32_t nonce = 0;
+  bool operator==(const Nack&) const = default;
+};
+// Give me all that you hold; mine comes as pieces as well where `push` is set.
+struct ExchangeAsk {
+  std::uint32_t nonce = 0;
+  bool push = false;
+  bool operator==(const ExchangeAsk&) const = default;
+};
+// A piece of a full exchange; its records are in the datagram's updates.
+struct Piece {
+  std::uint32_t nonce = 0;
+  std::uint16_t index = 0;
+  bool last = false;
+  bool operator==(const Piece&) const = default;
+};
+// You live under my name. Names the life it is for, which only a process that lives beside it can know.
+struct TwinNotice {
+  Life to{};
+  bool operator==(const TwinNotice&) const = default;
+};
+// Only what the updates carry, as an orderly leave.
+struct Tidings {
+  bool operator==(const Tidings&) const = default;
+};
+using Body = std::variant<Ping, Ack, Ask, Relayed, Nack, ExchangeAsk, Piece, TwinNotice, Tidings>;
+
+struct Datagram {
+  Sender from;
+  Body body;
+  std::vector<Record> updates;
+  std::uint16_t filler = 0;  // bytes: what is sent to a stranger may be no more than came from it
+  bool operator==(const Datagram&) const = default;
+};
+
+inline constexpr std::size_t kMostDatagram = 1200;  // bytes, with the envelope
+// Upper bounds of what the codec makes of them, the envelope included: checked against it by a test.
+std::size_t most_bytes(const Record& record);
+std::size_t most_bytes(const Datagram& datagram);
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,240 @@
+// One member of a fleet: probes others, answers them, passes news on, and knows how far its own view can be
+// trusted. No socket, no clock, no thread: datagrams, time and the seed come in as values; datagrams to send,
+// changes of the view and the next wake-up come out. The same inputs give the same outputs.
+//
+// One probe of one member (by default two are begun a period: one in a shuffled round, one of whoever had no
+// contact for longest):
+//
+//            late by its own round trips          late again                     end of the period
+//   ping ------------------------------> ping again ---------> helpers ask ---------------------> silent
+//     |  ack                               |  ack                 |  relayed ack
+//     +------------------------------------+-----> answered       +--> answered, but one direction is broken
+//
+// One member in the view of another:
+//
+//               silent, or told so                time is over, most are seen, and asked once more
+//   alive ----------------------------> suspect ---------------------------------------------------> dead
+//     ^  |                                 |  ^                                                        |
+//     |  | leaves in order                 |  +-- others confirm: less time                            |
+//     |  v                                 |                                                           |
+//   left |      +---- it refutes by a higher incarnation ----------------------------------------------+
+//     +--|------+
+//
+// Threads: one. Ownership: all values. Errors: what can't be believed is counted (Counters) and changes
+// nothing.
+#pragma once
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "membership/mass_guard.h"
+#include "membership/own_health.h"
+#include "membership/roster.h"
+#include "membership/spread.h"
+
+namespace granitegap::membership {
+
+struct Identity {
+  std::string name, zone;
+  Address address;  // advertised
+  Life life{};
+  Incarnation first = 1;  // of this life; beyond it where an earlier life is heard of
+};
+
+struct Send {
+  Address to;
+  Datagram datagram;
+};
+
+enum class ChangeKind : std::uint8_t {
+  joined,
+  restarted,
+  suspected,
+  refuted,
+  died,
+  departed,
+  forgotten,
+  told,
+  link_broken,
+  link_mended,
+  hearing,    // own: unheard, deaf, ok
+  certainty,  // own: the view is uncertain, or certain again
+  majority,   // own: most of the agreed fleet is seen, or is not
+  twin        // another process lives under the own name, or no longer does
+};
+struct Change {
+  ChangeKind kind{};
+  std::string name;  // whom it is about
+  bool own = false;  // found here, not heard
+};
+
+struct Counters {
+  std::uint64_t stale_life = 0, late = 0, strangers = 0, not_mine = 0, full = 0, suspicions = 0, deaths = 0,
+                refutations = 0, pauses = 0, exchanges = 0;
+};
+
+class Member {
+ public:
+  Member(Options options, Identity self, std::uint64_t seed, TimePoint now);
+
+  // A datagram that decoded well, of `bytes` on the wire.
+  void receive(const Datagram& datagram, std::size_t bytes, TimePoint now);
+  // At next_wake() or after it; earlier is harmless.
+  void wake(TimePoint now);
+  TimePoint next_wake() const;
+
+  // What is to be sent and what has changed since the last call, in order.
+  std::vector<Send> take_sends() { return std::exchange(sends_, {}); }
+  std::vector<Change> take_changes() { return std::exchange(changes_, {}); }
+
+  // What this member says of itself; version, generation, zone, twin and links are its own.
+  void tell(Stage stage, std::uint8_t warmth, std::uint8_t pressed, std::vector<Finding> findings,
+            TimePoint now);
+  // Orderly: told to some until enough acknowledge it, or three times.
+  void leave(TimePoint now);
+  bool has_left() const { return leaving_ && (leave_rounds_ >= 3 || leave_acks_ >= 2); }
+
+  // Fresh times and seeds; identity stays.
+  void change(const Options& options);
+
+  const Identity& self() const { return self_; }
+  Incarnation incarnation() const { return incarnation_; }
+  const Told& told() const { return told_; }
+  const Roster& roster() const { return roster_; }
+  Hearing hearing() const { return health_.hearing(); }
+  bool uncertain() const { return guard_.uncertain(); }
+  bool majority() const { return guard_.majority(); }
+  // The agreed fleet, this one included.
+  std::size_t agreed() const { return std::max(roster_.agreed() + 1, options_.expected); }
+  const std::optional<Address>& twin() const { return twin_; }
+  unsigned health_multiplier() const { return health_.multiplier(); }
+  const Counters& counters() const { return counters_; }
+  // A bound of what the state takes besides the roster.
+  std::size_t pending() const { return probes_.size() + relays_.size() + strangers_.size() + spread_.size(); }
+
+ private:
+  struct Probe {
+    std::uint32_t nonce = 0;
+    Index target = kNobody;
+    TimePoint sent, late_at, verdict_at;
+    std::uint8_t stage = 0;  // pings sent
+    bool asked = false;
+    std::uint8_t helpers_heard = 0;
+    std::optional<std::uint32_t> relayed;  // heard_ms of a relayed answer
+  };
+  struct Relay {  // asked for somebody else
+    std::uint32_t nonce = 0, theirs = 0;
+    std::string target;
+    Address asker;
+    TimePoint until;
+  };
+  struct Stranger {  // whose address has not yet been proven
+    std::string name;
+    Address address;
+    Life life{};
+    std::uint32_t nonce = 0;
+    TimePoint until;
+  };
+  struct Exchange {  // pieces on their way to one member
+    Address to;
+    std::uint32_t nonce = 0;
+    Index next = 0;
+    std::uint16_t index = 0;
+    TimePoint at;
+  };
+
+  // ---- member.cpp: time, self, state of others ----
+  void begin(TimePoint now);
+  void paused(Duration late);
+  void each_period(TimePoint now);
+  void judge(TimePoint now);
+  void judge_suspects(TimePoint now);
+  void apply(const Record& record, TimePoint now, bool own = false, bool in_exchange = false);
+  void about_self(const Record& record, TimePoint now);
+  void go_beyond(Incarnation seen, TimePoint now, bool eager);
+  void accuse(Index i, TimePoint now);
+  void set_deadline(Index i, TimePoint now);
+  void withdraw_own_accusations(TimePoint now);
+  void mirror_certain(Index i);
+  void say(ChangeKind kind, const std::string& name, bool own = false) {
+    changes_.push_back({kind, name, own});
+  }
+  void retell(TimePoint now);
+  void note_twin(const Address& where, TimePoint now);
+  bool may_remove(TimePoint now) const;
+  Record own_record(bool with_told) const;
+  std::uint64_t own_hash() const { return own_hash_; }
+
+  // ---- probing.cpp: probes, links, exchanges, strangers ----
+  void on(const Ping& ping, const Datagram& datagram, Index from, std::size_t bytes, TimePoint now);
+  void on(const Ack& ack, const Datagram& datagram, Index from, TimePoint now);
+  void on(const Ask& ask, const Datagram& datagram, TimePoint now);
+  void on(const Relayed& relayed, Index from, TimePoint now);
+  void on(const Nack& nack, TimePoint now);
+  void on(const ExchangeAsk& ask, const Datagram& datagram, TimePoint now);
+  void on(const Piece& piece, TimePoint now);
+  void probe_more(TimePoint now);
+  void begin_probe(Index target, TimePoint now);
+  void probe_late(Probe& probe, TimePoint now);
+  void probe_ended(const Probe& probe, TimePoint now);
+  void ask_helpers(Probe& probe, TimePoint now);
+  void link_answered(Index i, TimePoint now);
+  void link_relayed(Index i, const Probe& probe, std::uint32_t heard_ms, TimePoint now);
+  void set_link(Index i, bool broken, bool inward, TimePoint now);
+  Index next_in_round();
+  std::vector<Index> helpers_for(Index target, unsigned most);
+  void ask_exchange(Index with, TimePoint now);
+  void send_pieces(TimePoint now);
+  void meet(const Datagram& datagram, std::size_t room, TimePoint now);
+  void call_absent(TimePoint now);
+  void send_leave(TimePoint now);
+  void send(const Address& to, Body body, TimePoint now, Index about = kNobody, std::size_t filler_to = 0,
+            std::vector<Record> first = {});
+  Index random_present(bool alive_only);
+  std::uint32_t nonce() { return std::uint32_t(random_()) | 1; }
+  Duration late_after(const Entry& e) const;
+
+  Options options_;
+  Identity self_;
+  std::uint64_t own_hash_;
+  Incarnation incarnation_;
+  Told told_;
+  std::mt19937_64 random_;
+  TimePoint started_, now_, next_period_;
+  std::uint64_t periods_ = 0;
+  Roster roster_;
+  OwnHealth health_;
+  MassGuard guard_;
+  Spread spread_;
+  std::vector<Probe> probes_;
+  std::vector<Relay> relays_;
+  std::vector<Stranger> strangers_;
+  std::vector<Exchange> exchanges_;
+  std::vector<Index> suspects_;
+  std::vector<Index> checked_links_;  // with link_checks or a broken link
+  std::vector<Index> uncounted_;      // joined; in the agreed fleet once most are seen
+  std::vector<Index> round_;
+  std::size_t round_at_ = 0;
+  TimePoint next_exchange_, last_heal_, refuted_at_;
+  Index last_heard_ = kNobody;
+  bool joined_ = false;  // a full exchange has come in
+  unsigned joins_ = 0;   // exchanges asked for since the start
+  bool was_uncertain_ = false, had_majority_ = true;
+  Hearing was_hearing_ = Hearing::ok;
+  std::optional<Address> twin_;
+  Life twin_life_{};
+  TimePoint twin_until_, twin_notice_;
+  bool yielding_ = false;  // the twin holds the name
+  bool leaving_ = false;
+  unsigned leave_rounds_ = 0, leave_acks_ = 0;
+  TimePoint leave_next_;
+  std::vector<std::uint32_t> leave_nonces_;
+  std::vector<Send> sends_;
+  std::vector<Change> changes_;
+  Counters counters_;
+};
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/own_health.cpp
@@ -0,0 +1,81 @@
+#include "membership/own_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace granitegap::membership {
+namespace {
+
+constexpr double kFailsGain = 0.05;   // weight of the newest probe in the usual share of failures
+constexpr double kFailsMost = 0.5;    // a share over this is a fault, not usual loss
+constexpr double kEvidence = 9;       // as a natural logarithm: one in 8,000 by chance
+constexpr unsigned kLeastInARow = 3;  // failures before 'unheard', however rare they are
+
+}  // namespace
+
+const char* text_of(Hearing hearing) {
+  switch (hearing) {
+    case Hearing::ok:
+      return "ok";
+    case Hearing::unheard:
+      return "unheard";
+    case Hearing::deaf:
+      return "deaf";
+  }
+  return "?";
+}
+
+OwnHealth::OwnHealth(const Options& options, TimePoint now)
+    : options_(options), heard_at_(now), hearing_since_(now), started_(now) {}
+
+void OwnHealth::worse(unsigned by) { worse_ = std::min(worse_ + by, options_.health_most); }
+
+std::optional<Duration> OwnHealth::woke(TimePoint now, TimePoint due) {
+  if (options_.plain || now - due <= options_.period / 2) return std::nullopt;
+  const auto late = now - due;
+  const auto periods = late / options_.period;
+  worse(unsigned(std::clamp<std::int64_t>(periods, 1, 3)));
+  // What waits in the socket is heard in the meantime: two periods bring at least one probe of somebody's.
+  if (periods >= 1) {
+    listen_until_ = std::max(listen_until_, now + 2 * options_.period);
+    heard_at_ = std::max(heard_at_, now);  // silence during a pause is nobody's
+    evidence_ = 0;
+    in_a_row_ = 0;
+  }
+  return late;
+}
+
+void OwnHealth::probe_answered(TimePoint now) {
+  fails_ += (0 - fails_) * kFailsGain;
+  in_a_row_ = 0;
+  evidence_ = 0;
+  if (worse_) --worse_;
+  if (hearing_ == Hearing::unheard) change(Hearing::ok, now);
+}
+
+// Whoever is silent itself says nothing of my own path: guards against the smaller part of a fleet that was
+// cut in two taking itself for unheard.
+void OwnHealth::probe_failed(TimePoint now, bool helpers_silent, bool target_heard) {
+  if (helpers_silent) worse(1);
+  if (in_a_row_++ == 0) failing_since_ = now - options_.period;
+  if (target_heard) evidence_ -= std::log(std::clamp(fails_, 0.02, kFailsMost));
+  fails_ = std::min(kFailsMost, fails_ + (1 - fails_) * kFailsGain);
+}
+
+void OwnHealth::refuted_in_vain() {
+  if (in_a_row_ > 0) evidence_ += kEvidence / 3;
+}
+
+void OwnHealth::judge(TimePoint now, std::size_t others) {
+  if (options_.plain || others == 0) return change(Hearing::ok, now);
+  if (now - heard_at_ > options_.deaf_after()) return change(Hearing::deaf, now);
+  if (hearing_ == Hearing::deaf) change(Hearing::ok, now);
+  if (in_a_row_ >= kLeastInARow && evidence_ >= kEvidence) change(Hearing::unheard, now);
+}
+
+void OwnHealth::change(Hearing to, TimePoint now) {
+  if (std::exchange(hearing_, to) != to) hearing_since_ = now;
+}
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/roster.cpp
@@ -0,0 +1,174 @@
+#include "membership/roster.h"
+
+#include <algorithm>
+
+namespace granitegap::membership {
+
+Index Roster::find(std::string_view name) const {
+  const auto it = index_.find(name_hash(name));
+  return it == index_.end() || entries_[it->second].name != name ? kNobody : it->second;
+}
+
+void Roster::count(const Entry& e, int by) {
+  const auto add = [by](std::size_t& n) { n = std::size_t(std::ptrdiff_t(n) + by); };
+  if (!e.known) return;
+  if (e.status == Status::alive) add(alive_);
+  if (e.status == Status::alive || e.status == Status::suspect) add(present_);
+  if (e.counted) add(agreed_);
+  if (e.counted && e.status == Status::alive) add(agreed_alive_);
+}
+
+void Roster::set_counted(Index i, bool counted) {
+  auto& e = entries_[i];
+  count(e, -1);
+  e.counted = counted;
+  count(e, 1);
+}
+
+void Roster::set_status(Index i, Status status, TimePoint now) {
+  auto& e = entries_[i];
+  if (e.status == status) return;
+  const bool was_present = is_present(i);
+  count(e, -1);
+  e.status = status;
+  e.since = now;
+  // Whoever leaves in order is no loss to the fleet: it shrinks at once.
+  if (status == Status::left) e.counted = false;
+  count(e, 1);
+  if (status != Status::suspect) {
+    e.accusers.clear();
+    e.last_asked = false;
+  }
+  if (status == Status::alive) e.reachable = true;
+  if (was_present && !is_present(i)) {
+    unlink(i);
+    tombs_.push_back(i);
+  } else if (!was_present && is_present(i)) {
+    std::erase(tombs_, i);
+    link(i);
+  }
+}
+
+void Roster::link(Index i) {
+  auto& e = entries_[i];
+  e.before = last_;
+  e.after = kNobody;
+  (last_ == kNobody ? first_ : entries_[last_].after) = i;
+  last_ = i;
+}
+
+void Roster::unlink(Index i) {
+  auto& e = entries_[i];
+  (e.before == kNobody ? first_ : entries_[e.before].after) = e.after;
+  (e.after == kNobody ? last_ : entries_[e.after].before) = e.before;
+  e.before = e.after = kNobody;
+}
+
+void Roster::contact(Index i) {
+  if (!is_present(i)) return;
+  unlink(i);
+  link(i);
+}
+
+void Roster::forget(Index i) {
+  auto& e = entries_[i];
+  count(e, -1);
+  index_.erase(e.hash);
+  e = Entry{};
+  free_.push_back(i);
+}
+
+Record Roster::record_of(Index i, bool with_told, std::uint64_t accuser) const {
+  const auto& e = entries_[i];
+  Record r{e.name, e.address, e.life, e.incarnation, e.status, 0, 0, std::nullopt};
+  if (e.status == Status::suspect) r.accuser = accuser ? accuser : e.accusers.first();
+  if (with_told && e.told.version) r.told = e.told;
+  return r;
+}
+
+Merged Roster::merge(const Record& r, TimePoint now, Index& where) {
+  where = find(r.name);
+  if (where == kNobody) {
+    // Guards against a replayed or late word that would raise one who is forgotten: nobody is met as dead.
+    if (r.status == Status::dead || r.status == Status::left) return Merged::nothing;
+    if (index_.size() >= options_.members_most || index_.contains(name_hash(r.name))) return Merged::full;
+    if (free_.empty()) {
+      where = Index(entries_.size());
+      entries_.emplace_back();
+    } else {
+      where = free_.back();
+      free_.pop_back();
+    }
+    auto& e = entries_[where];
+    e.name = r.name;
+    e.hash = name_hash(r.name);
+    e.address = r.address;
+    e.life = r.life;
+    e.incarnation = r.incarnation;
+    e.status = r.status;
+    e.known = true;
+    e.since = e.heard = now;
+    if (r.told) e.told = *r.told;
+    index_[e.hash] = where;
+    count(e, 1);
+    link(where);
+    return Merged::joined;
+  }
+  auto& e = entries_[where];
+  if (r.life != e.life) {
+    // An earlier life's word, however late, or the lesser of two that live under one name.
+    if (r.incarnation <= e.incarnation) return Merged::nothing;
+    set_status(where, Status::alive, now);
+    e.since = e.heard = now;
+    e.life = r.life;
+    e.incarnation = r.incarnation;
+    e.address = r.address;
+    e.told = r.told.value_or(Told{});
+    e.round_trip = {};
+    e.clock_offset_ms = 0;
+    e.timely = {};
+    e.link_checks = 0;
+    e.link_broken = false;
+    if (r.status != Status::alive) set_status(where, r.status, now);
+    return r.status == Status::dead ? Merged::died
+                                    : (r.status == Status::left ? Merged::departed : Merged::restarted);
+  }
+  bool fresh_told = false;
+  if (r.told && r.told->version > e.told.version) {
+    e.told = *r.told;
+    fresh_told = true;
+  }
+  const auto otherwise = fresh_told ? Merged::told : Merged::nothing;
+  if (r.incarnation < e.incarnation) return otherwise;
+  if (r.incarnation == e.incarnation && r.status <= e.status) {
+    if (r.status == Status::suspect && e.status == Status::suspect && e.accusers.add(r.accuser))
+      return Merged::confirmed;
+    return otherwise;
+  }
+  const auto before = e.status;
+  const bool moved = e.address != r.address;
+  e.incarnation = r.incarnation;
+  e.address = r.address;
+  if (moved) e.round_trip = {};
+  if (before == Status::suspect && r.status == Status::suspect) {  // of a higher incarnation: begins anew
+    e.accusers.clear();
+    e.accusers.add(r.accuser);
+    e.since = now;
+    return Merged::suspected;
+  }
+  set_status(where, r.status, now);
+  switch (r.status) {
+    case Status::alive:
+      return Merged::refuted;
+    case Status::suspect:
+      e.accusers.add(r.accuser);
+      return Merged::suspected;
+    case Status::dead:
+      return Merged::died;
+    case Status::left:
+      return Merged::departed;
+  }
+  return otherwise;
+}
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/spread.cpp
@@ -0,0 +1,67 @@
+#include "membership/spread.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace granitegap::membership {
+namespace {
+
+constexpr std::size_t kCrowd = 64;  // updates that wait, from which on each is sent on less often
+
+}  // namespace
+
+void Spread::add(Record record, TimePoint now) {
+  const auto member = name_hash(record.name);
+  auto& item = items_[member];
+  if (item.order) {
+    queue_.erase({item.sent, item.order, member});
+    // Guards against news of a member's state that pushes out what it has told of itself in the same life.
+    if (!record.told && item.record.life == record.life) record.told = std::move(item.record.told);
+  }
+  item = Item{std::move(record), now, 0, next_++, 0};
+  item.bytes = most_bytes(item.record);
+  queue_.insert({0, item.order, member});
+}
+
+void Spread::drop(std::uint64_t member) {
+  const auto it = items_.find(member);
+  if (it == items_.end()) return;
+  queue_.erase({it->second.sent, it->second.order, member});
+  items_.erase(it);
+}
+
+void Spread::fill(std::vector<Record>& to, std::size_t room, unsigned times, TimePoint now) {
+  constexpr std::size_t kLeast = 60;  // no record is smaller
+  constexpr unsigned kMisfits = 4;    // guards against a search of the whole queue for the last few bytes
+  unsigned misfits = 0;
+  std::vector<Key> taken;
+  for (auto it = queue_.begin(); it != queue_.end() && room >= kLeast;) {
+    auto& item = items_.at(it->member);
+    const bool there = std::any_of(to.begin(), to.end(), [&](auto& r) { return r.name == item.record.name; });
+    if (there || item.bytes > room) {
+      if (++misfits >= kMisfits) break;
+      ++it;
+      continue;
+    }
+    room -= item.bytes;
+    to.push_back(item.record);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - item.added).count();
+    to.back().age_ms += std::uint32_t(std::clamp<std::int64_t>(age, 0, 1'000'000'000));
+    taken.push_back(*it);
+    it = queue_.erase(it);
+  }
+  for (auto key : taken) {
+    auto& item = items_.at(key.member);
+    if (++item.sent >= times)
+      items_.erase(key.member);
+    else
+      queue_.insert({item.sent, item.order, key.member});
+  }
+}
+
+unsigned times_to_spread(const Options& options, std::size_t fleet, std::size_t waiting) {
+  const auto times = options.spread * unsigned(std::max(1.0, std::ceil(std::log10(double(fleet) + 1))));
+  return waiting <= kCrowd ? times : std::max(2u, unsigned(times * kCrowd / waiting));
+}
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/types.h
@@ -0,0 +1,90 @@
+// What members of a fleet know of each other: values only, no socket and no clock.
+//
+// Terms are those of SWIM (Das, Gupta, Motivala, DSN 2002) and of Lifeguard (Dadgar, Phillips, Currey, DSN-W
+// 2018): incarnation, suspicion, refutation, indirect probe, local health.
+#pragma once
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "granitegap/policy.h"
+
+namespace granitegap::membership {
+
+// A numeric UDP address; an IPv4 one stands in the first four bytes.
+struct Address {
+  std::array<std::uint8_t, 16> ip{};
+  std::uint16_t port = 0;
+  bool v6 = false;
+  auto operator<=>(const Address&) const = default;
+  explicit operator bool() const { return port != 0; }
+};
+
+// Orders what is said of one member: only the member itself raises it, to refute, and each of its lives
+// begins beyond all that it has learned of its earlier ones.
+using Incarnation = std::uint64_t;
+// Drawn by chance at each start: tells two lives under one name apart even where a clock went back.
+enum class Life : std::uint64_t {};
+
+// What is held of a member. The order is that of precedence within one incarnation.
+enum class Status : std::uint8_t { alive, suspect, dead, left };
+// What a member says of itself.
+enum class Stage : std::uint8_t { starting, warming, serving, draining, leaving };
+
+// A direction that does not carry, between whoever tells it and `peer`.
+struct LinkFault {
+  std::uint64_t peer = 0;  // name_hash()
+  bool inward = false;     // true: what the peer sends does not arrive
+  bool operator==(const LinkFault&) const = default;
+};
+
+// What whoever probes a dependency has found: told while it probes one that is out, and a while after it is
+// back.
+struct Finding {
+  std::uint64_t dependency = 0;  // name_hash() of its name
+  bool out = false;
+  bool operator==(const Finding&) const = default;
+};
+
+inline constexpr std::size_t kMostName = 64, kMostZone = 32;  // bytes
+inline constexpr std::size_t kMostLinkFaults = 4, kMostFindings = 8;
+
+// Owned and versioned by the member it is about; a stale version never wins within one life.
+struct Told {
+  std::uint32_t version = 0;
+  Stage stage = Stage::starting;
+  std::uint8_t warmth = 0, pressed = 0;  // in 100
+  std::uint64_t generation = 0;          // the incarnation with which this life began
+  std::string zone;
+  Address twin;   // another live process under its name, where there is one
+  Life beyond{};  // an earlier life that this one has superseded
+  std::vector<LinkFault> links;
+  std::vector<Finding> findings;
+  bool operator==(const Told&) const = default;
+};
+
+// One member as one datagram tells of it.
+struct Record {
+  std::string name;
+  Address address;
+  Life life{};
+  Incarnation incarnation = 0;
+  Status status = Status::alive;
+  std::uint64_t accuser = 0;  // of a suspect or dead one: name_hash() of who found it silent
+  std::uint32_t age_ms = 0;   // since it was first said, as far as those who passed it on can tell
+  std::optional<Told> told;
+  bool operator==(const Record&) const = default;
+};
+
+// XXH3 of the name, never 0: the same in every process.
+std::uint64_t name_hash(std::string_view name);
+
+const char* text_of(Status status);
+const char* text_of(Stage stage);
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/views.cpp
@@ -0,0 +1,90 @@
+#include "membership/views.h"
+
+#include <algorithm>
+
+namespace granitegap::membership {
+namespace {
+
+constexpr double kWiden = 8;  // windows' growth while all are missing
+
+// A finalizer of 64 bits (MurmurHash3's): two hashes in, one even score out.
+std::uint64_t score(std::uint64_t member, std::uint64_t dependency) {
+  auto x = member ^ (dependency * 0x9e3779b97f4a7c15ull);
+  x = (x ^ (x >> 33)) * 0xff51afd7ed558ccdull;
+  x = (x ^ (x >> 33)) * 0xc4ceb9fe1a85ec53ull;
+  return x ^ (x >> 33);
+}
+
+bool serves(const View::Peer& p) {
+  return p.certain == Status::alive && p.present == Status::alive &&
+         (p.told.stage == Stage::serving || p.told.stage == Stage::warming);
+}
+
+}  // namespace
+
+View view_of(const Member& member, TimePoint now) {
+  View v;
+  v.own_hash = name_hash(member.self().name);
+  const auto& roster = member.roster();
+  v.peers.reserve(roster.known());
+  for (Index i = 0; i < roster.places(); ++i)
+    if (const auto& e = roster.at(i); e.known)
+      v.peers.push_back({e.name, e.hash, e.status, e.certain, e.told, e.address});
+  v.agreed = member.agreed();
+  v.majority = member.majority();
+  v.uncertain = member.uncertain();
+  v.hearing = member.hearing();
+  v.at = now;
+  return v;
+}
+
+double missing_share(const View& v) {
+  const auto there = 1 + std::count_if(v.peers.begin(), v.peers.end(),
+                                       [](const auto& p) { return p.present == Status::alive; });
+  return std::clamp(1 - double(there) / double(std::max<std::size_t>(v.agreed, 1)), 0.0, 1.0);
+}
+
+Duration spread_backoff(Duration base, Duration most, double missing, double random) {
+  if (base.count() <= 0 || base >= most || missing <= 0) return base;
+  const auto window = std::min(double((most - base).count()), double(base.count()) * kWiden * missing);
+  return base + Duration(std::int64_t(window * std::clamp(random, 0.0, 1.0)));
+}
+
+std::uint64_t prober_of(const View& v, std::uint64_t dependency) {
+  std::uint64_t best = v.own_hash, best_score = score(v.own_hash, dependency);
+  for (const auto& p : v.peers) {
+    if (!serves(p)) continue;
+    if (const auto s = score(p.hash, dependency); s > best_score || (s == best_score && p.hash > best))
+      best = p.hash, best_score = s;
+  }
+  return best;
+}
+
+namespace {
+
+// What the chosen prober says of it; null where that is this one, or it says nothing.
+const Finding* word_of_prober(const View& v, std::uint64_t dependency) {
+  const auto prober = prober_of(v, dependency);
+  for (const auto& p : v.peers)
+    if (p.hash == prober)
+      for (const auto& f : p.told.findings)
+        if (f.dependency == dependency) return &f;
+  return nullptr;
+}
+
+bool can_rely(const View& v) { return v.majority && !v.uncertain && v.hearing == Hearing::ok; }
+
+}  // namespace
+
+bool probes_itself(const View& v, std::uint64_t dependency) {
+  if (!can_rely(v)) return true;
+  const auto* word = word_of_prober(v, dependency);
+  return !word || !word->out;  // back for the prober: now each sees for itself
+}
+
+bool told_back(const View& v, std::uint64_t dependency) {
+  const auto* word = can_rely(v) ? word_of_prober(v, dependency) : nullptr;
+  return word && !word->out;
+}
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership/views.h
@@ -0,0 +1,52 @@
+// What the rest of the program sees of the fleet: a read-only picture, and the decisions of its consumers.
+//
+// Two pictures stand beside each other: `present` as it is held now, and `certain` as it was when it was last
+// beyond doubt. While they differ `uncertain` is set; a consumer that must not act on a doubt takes the
+// certain one, and nothing where there is no majority.
+#pragma once
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/member.h"
+
+namespace granitegap::membership {
+
+struct View {
+  struct Peer {
+    std::string name;
+    std::uint64_t hash = 0;
+    Status present{}, certain{};
+    Told told;
+    Address address;
+  };
+  std::uint64_t own_hash = 0;
+  std::vector<Peer> peers;  // without this one
+  std::size_t agreed = 1;   // the agreed fleet, this one included
+  bool majority = true, uncertain = false;
+  Hearing hearing = Hearing::ok;
+  TimePoint at{};
+};
+View view_of(const Member& member, TimePoint now);
+
+// The part of the agreed fleet that is not there, 0 to 1, by the present view: who is missing takes no load.
+double missing_share(const View& view);
+
+// How long a caller is kept off, drawn evenly from a window that widens with the part of the fleet that is
+// missing: guards against the callers of a lost zone returning together. Never under `base` and never over
+// `most`. `random`: in [0, 1).
+Duration spread_backoff(Duration base, Duration most, double missing, double random);
+
+// Who probes a dependency for all while it is out: the highest score of rendezvous hashing (Thaler and
+// Ravishankar 1998) over this one and those that serve or warm up, alive in the certain and the present view.
+// Every member of one view names the same, and when one goes only what it probed moves.
+std::uint64_t prober_of(const View& view, std::uint64_t dependency);
+// Whether this one is to probe it: as the chosen one; or because nobody who could be relied on does, as
+// without a majority, or where the chosen one does not say that it probes (it may see no outage, or have no
+// traffic).
+bool probes_itself(const View& view, std::uint64_t dependency);
+// The chosen one, not this one, has found it back.
+bool told_back(const View& view, std::uint64_t dependency);
+
+}  // namespace granitegap::membership
--- /dev/null
+++ b/src/membership_udp/actor.cpp
@@ -0,0 +1,285 @@
+#include "membership_udp/actor.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstring>
+
+namespace granitegap::membership_udp {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using namespace membership;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kAtOnce = 64;  // datagrams before others get their turn
+constexpr int kSocketBuffer = 256 * 1024;
+constexpr Duration kBadTold = std::chrono::seconds(10);
+
+}  // namespace
+
+udp::endpoint endpoint_of(const Address& a) {
+  if (a.v6) return {asio::ip::address_v6(a.ip), a.port};
+  return {asio::ip::address_v4({a.ip[0], a.ip[1], a.ip[2], a.ip[3]}), a.port};
+}
+
+Address address_of(const udp::endpoint& e) {
+  Address a;
+  a.port = e.port();
+  a.v6 = e.address().is_v6();
+  if (a.v6) {
+    a.ip = e.address().to_v6().to_bytes();
+  } else {
+    const auto four = e.address().to_v4().to_bytes();
+    std::copy(four.begin(), four.end(), a.ip.begin());
+  }
+  return a;
+}
+
+Actor::Actor(const asio::any_io_executor& executor, Settings settings, std::string name, std::uint64_t life,
+             Incarnation first, std::uint64_t seed, Hooks hooks, Logger& log)
+    : settings_(std::move(settings)),
+      hooks_(std::move(hooks)),
+      log_(log),
+      member_(settings_.options,
+              Identity{std::move(name), settings_.zone, settings_.advertise, Life(life), first}, seed,
+              hooks_.clock()),
+      socket_(executor),
+      timer_(executor) {
+  const auto bind = endpoint_of(settings_.bind);
+  socket_.open(bind.protocol());
+  socket_.bind(bind);
+  socket_.non_blocking(true);
+  error_code ignored;  // a smaller buffer only loses more
+  socket_.set_option(asio::socket_base::receive_buffer_size(kSocketBuffer), ignored);
+  socket_.set_option(asio::socket_base::send_buffer_size(kSocketBuffer), ignored);
+  log_.line("membership: cluster " + settings_.cluster + ", bound to " + text_of(settings_.bind) +
+                ", reached at " + text_of(settings_.advertise),
+            {{"event", "membership"}, {"cluster", settings_.cluster}});
+}
+
+// What waits is taken in before anything is judged by the clock: after a pause it first hears.
+asio::awaitable<void> Actor::receive() {
+  for (;;) {
+    error_code error;
+    co_await socket_.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    for (std::size_t k = 0; k < kAtOnce; ++k) {
+      const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
+      if (error) break;  // nothing more; or an error of one datagram, which is over with it
+      take(bytes);
+    }
+    pass_on();
+    co_await asio::post(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> Actor::run() {
+  for (;;) {
+    const auto due = std::chrono::steady_clock::time_point(member_.next_wake().time_since_epoch());
+    timer_.expires_at(due);
+    error_code woken;
+    co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    if (!socket_.is_open()) co_return;
+    if (woken) continue;  // a datagram has moved the wake-up
+    error_code error;
+    for (std::size_t k = 0; k < kAtOnce; ++k) {
+      const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
+      if (error) break;
+      take(bytes);
+    }
+    if (hooks_.own && !leaving_) {
+      auto own = hooks_.own();
+      member_.tell(own.stage, own.warmth, own.pressed, std::move(own.findings), now());
+    }
+    member_.wake(now());
+    pass_on();
+  }
+}
+
+void Actor::take(std::size_t bytes) {
+  const auto decoded = decode({buffer_.data(), bytes}, settings_.cluster);
+  if (const auto* bad = std::get_if<Bad>(&decoded)) return count(*bad);
+  if (const auto* query = std::get_if<Query>(&decoded)) return answer(*query);
+  if (const auto* datagram = std::get_if<Datagram>(&decoded)) member_.receive(*datagram, bytes, now());
+}
+
+void Actor::count(Bad bad) {
+  ++bad_[std::size_t(bad)];
+  const auto at = now();
+  if (bad_told_ != TimePoint{} && at - bad_told_ < kBadTold) return;
+  bad_told_ = at;
+  log_.line(std::string("membership: datagrams left unread, the newest as ") + text_of(bad) + ": " +
+                std::to_string(bad_[std::size_t(bad)]) + " so far",
+            {{"event", "membership_bad_datagram"}, {"why", text_of(bad)}});
+}
+
+void Actor::pass_on() {
+  for (const auto& s : member_.take_sends()) send(endpoint_of(s.to), encode(s.datagram, settings_.cluster));
+  const auto changes = member_.take_changes();
+  for (const auto& change : changes) told(change);
+  if (!changes.empty() || std::exchange(changed_, false))
+    if (hooks_.view) hooks_.view(std::make_shared<const View>(view_of(member_, now())));
+  timer_.cancel();
+}
+
+// Never waits: a full buffer loses it, as the network might.
+void Actor::send(const udp::endpoint& to, const std::string& bytes) {
+  error_code error;
+  socket_.send_to(asio::buffer(bytes), to, 0, error);
+  if (error) ++unsent_;
+}
+
+void Actor::change(Settings fresh) {
+  std::string kept;
+  const auto note = [&](bool same, const char* what) {
+    if (!same) kept.append(kept.empty() ? "" : ", ").append(what);
+  };
+  note(fresh.cluster == settings_.cluster, "cluster");
+  note(fresh.bind == settings_.bind, "bind");
+  note(fresh.advertise == settings_.advertise, "advertise");
+  note(fresh.zone == settings_.zone, "zone");
+  settings_.options = std::move(fresh.options);
+  member_.change(settings_.options);
+  if (!kept.empty())
+    log_.line("reload: changed but kept until a restart: membership " + kept,
+              {{"event", "reload_kept"}, {"kept", kept}});
+}
+
+void Actor::leave() {
+  if (std::exchange(leaving_, true)) return;
+  member_.leave(now());
+  pass_on();
+}
+
+void Actor::told(const Change& c) {
+  const auto line = [&](std::string text, std::string_view event) {
+    log_.line("membership: " + text, {{"event", event}, {"subject", c.name}});
+  };
+  const auto i = member_.roster().find(c.name);
+  switch (c.kind) {
+    case ChangeKind::joined:
+      return line(c.name + " joined", "member_joined");
+    case ChangeKind::restarted:
+      return line(c.name + " has restarted", "member_restarted");
+    case ChangeKind::suspected:
+      return line(c.name + " is suspect", "member_suspect");
+    case ChangeKind::refuted:
+      return line(c.name + " is alive", "member_alive");
+    case ChangeKind::died:
+      return line(c.name + " is held dead", "member_dead");
+    case ChangeKind::departed:
+      return line(c.name + " has left", "member_left");
+    case ChangeKind::forgotten:
+    case ChangeKind::told:
+      return;
+    case ChangeKind::link_broken:
+      if (i != kNobody)
+        line(member_.roster().at(i).link_in ? "nothing arrives straight from " + c.name
+                                            : "nothing arrives straight at " + c.name,
+             "link_broken");
+      return;
+    case ChangeKind::link_mended:
+      return line("straight link with " + c.name + " works again", "link_mended");
+    case ChangeKind::hearing:
+      return line(
+          std::string("this process is ") +
+              (member_.hearing() == Hearing::ok ? "heard and hears again" : text_of(member_.hearing())),
+          "hearing");
+    case ChangeKind::certainty:
+      return line(member_.uncertain() ? "view uncertain: many silent at once, nobody is removed"
+                                      : "view certain again",
+                  "certainty");
+    case ChangeKind::majority:
+      return line(member_.majority() ? "most of the fleet is seen again" : "no majority of the fleet is seen",
+                  "majority");
+    case ChangeKind::twin:
+      return line(member_.twin() ? "another process lives under this name at " + text_of(*member_.twin())
+                                 : "no other process under this name any more",
+                  "twin");
+  }
+}
+
+// ---- The question of `granitegap members` ----
+
+bool Actor::may_ask(const udp::endpoint& who) const {
+  if (who.address().is_loopback()) return true;
+  const auto& roster = member_.roster();
+  for (Index i = 0; i < roster.places(); ++i)
+    if (roster.at(i).known && endpoint_of(roster.at(i).address).address() == who.address()) return true;
+  return false;
+}
+
+Line Actor::line_of(Index i) const {
+  const auto& roster = member_.roster();
+  Line l;
+  const Told* t = nullptr;
+  if (i == kNobody) {
+    l.name = member_.self().name;
+    l.address = text_of(member_.self().address);
+    l.incarnation = member_.incarnation();
+    l.status = l.certain = leaving_ ? Status::left : Status::alive;
+    t = &member_.told();
+  } else {
+    const auto& e = roster.at(i);
+    l.name = e.name;
+    l.address = text_of(e.address);
+    l.incarnation = e.incarnation;
+    l.status = e.status;
+    l.certain = e.certain;
+    l.reachable = e.reachable && (e.status == Status::alive);
+    l.since_ms = std::uint64_t(
+        std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(now() - e.since).count(), 0));
+    t = &e.told;
+  }
+  l.zone = t->zone;
+  l.stage = t->stage;
+  l.warmth = t->warmth;
+  l.pressed = t->pressed;
+  if (t->twin) l.twin = text_of(t->twin);
+  for (const auto& fault : t->links) {
+    std::string peer;
+    if (fault.peer == name_hash(member_.self().name)) peer = member_.self().name;
+    for (Index k = 0; k < roster.places() && peer.empty(); ++k)
+      if (roster.at(k).known && roster.at(k).hash == fault.peer) peer = roster.at(k).name;
+    if (!peer.empty()) (fault.inward ? l.unheard_from : l.not_reaching).push_back(peer);
+  }
+  return l;
+}
+
+void Actor::answer(const Query& query) {
+  if (!may_ask(from_)) return;
+  Reply r;
+  r.nonce = query.nonce;
+  r.cluster = settings_.cluster;
+  r.name = member_.self().name;
+  r.incarnation = member_.incarnation();
+  r.stage = member_.told().stage;
+  r.hearing = member_.hearing();
+  r.majority = member_.majority();
+  r.uncertain = member_.uncertain();
+  r.agreed = std::uint32_t(member_.agreed());
+  // By place, so that a list which changes between two questions names nobody twice.
+  const auto& roster = member_.roster();
+  std::string bytes;
+  auto next = query.from;
+  for (; next <= roster.places(); ++next) {
+    if (next > 0 && !roster.at(next - 1).known) continue;
+    r.lines.push_back(line_of(next == 0 ? kNobody : next - 1));
+    r.next = next + 1;
+    auto more = encode(r);
+    if (more.size() > kMostDatagram) {
+      r.lines.pop_back();
+      break;
+    }
+  }
+  r.next = next;
+  r.last = next > roster.places();
+  send(from_, encode(r));
+}
+
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/src/membership_udp/actor.h
@@ -0,0 +1,79 @@
+// The actor that takes part in the fleet: one UDP socket, one membership::Member, one mailbox for the
+// program.
+//
+// Queues are bounded each way: in, the socket's own buffer; out, none: what the socket does not take at once
+// is lost and counted, as any datagram may be. Nothing here waits for a peer. Starts no thread.
+#pragma once
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "log/logger.h"
+#include "mailbox/mailbox.h"
+#include "membership/member.h"
+#include "membership/views.h"
+#include "membership_udp/codec.h"
+#include "membership_udp/settings.h"
+
+namespace granitegap::membership_udp {
+
+boost::asio::ip::udp::endpoint endpoint_of(const membership::Address& address);
+membership::Address address_of(const boost::asio::ip::udp::endpoint& endpoint);
+
+class Actor {
+ public:
+  // What the program says of itself, asked for once a period.
+  struct Own {
+    membership::Stage stage{};
+    std::uint8_t warmth = 0, pressed = 0;
+    std::vector<membership::Finding> findings;
+  };
+  struct Hooks {
+    std::function<Own()> own;
+    std::function<void(std::shared_ptr<const membership::View>)> view;  // a fresh one, at most once a wake-up
+    std::function<TimePoint()> clock;
+  };
+  // Throws boost::system::system_error where the address can't be bound.
+  Actor(const boost::asio::any_io_executor& executor, Settings settings, std::string name, std::uint64_t life,
+        membership::Incarnation first, std::uint64_t seed, Hooks hooks, Logger& log);
+  boost::asio::awaitable<void> receive();
+  boost::asio::awaitable<void> run();
+  // Fresh seeds and times; what waits for a restart is named in a line.
+  void change(Settings settings);
+  // Orderly; done once enough have acknowledged it or it was said three times.
+  void leave();
+  bool has_left() const { return !leaving_ || member_.has_left(); }
+  boost::asio::ip::udp::endpoint local() const { return socket_.local_endpoint(); }
+  const membership::Member& member() const { return member_; }
+
+ private:
+  void take(std::size_t bytes);
+  void answer(const Query& query);
+  void pass_on();
+  void send(const boost::asio::ip::udp::endpoint& to, const std::string& bytes);
+  bool may_ask(const boost::asio::ip::udp::endpoint& who) const;
+  void told(const membership::Change& change);
+  void count(Bad bad);
+  Line line_of(membership::Index i) const;
+  TimePoint now() const { return hooks_.clock(); }
+
+  Settings settings_;
+  Hooks hooks_;
+  Logger& log_;
+  membership::Member member_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::asio::ip::udp::endpoint from_;
+  std::array<char, 2048> buffer_{};
+  std::array<std::uint64_t, kKindsOfBad> bad_{};
+  std::uint64_t unsent_ = 0;
+  TimePoint bad_told_{};
+  bool leaving_ = false, changed_ = true;
+};
+
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/src/membership_udp/ask.h
@@ -0,0 +1,17 @@
+// `granitegap members`: asks a process for its view of the fleet.
+#pragma once
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "membership_udp/codec.h"
+
+namespace granitegap::membership_udp {
+
+// All lines in one Reply; absent where no whole answer came in time.
+std::optional<Reply> ask(const membership::Address& address, std::chrono::milliseconds within);
+// One object, or a table for a reader.
+std::string to_json(const Reply& reply);
+std::string to_text(const Reply& reply);
+
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/src/membership_udp/codec.cpp
@@ -0,0 +1,325 @@
+#include "membership_udp/codec.h"
+
+#include <xxhash.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <cstring>
+
+#include "membership.pb.h"
+
+namespace granitegap::membership_udp {
+namespace {
+
+using namespace membership;
+
+constexpr std::string_view kMagic = "ggm1";  // its last character is the format's version
+constexpr std::size_t kHead = 12;
+constexpr int kMostUpdates = 64;
+
+std::string seal(const wire::Packet& packet) {
+  std::string bytes(kHead, '\0');
+  packet.AppendToString(&bytes);
+  std::memcpy(bytes.data(), kMagic.data(), kMagic.size());
+  return reseal(std::move(bytes));
+}
+
+void put(const Address& a, wire::Address* to) {
+  to->set_ip(a.ip.data(), a.v6 ? 16 : 4);
+  to->set_port(a.port);
+}
+void put(const Told& t, wire::Told* to) {
+  to->set_version(t.version);
+  to->set_stage(std::uint32_t(t.stage));
+  to->set_warmth(t.warmth);
+  to->set_pressed(t.pressed);
+  to->set_generation(t.generation);
+  to->set_zone(t.zone);
+  if (t.twin) put(t.twin, to->mutable_twin());
+  to->set_beyond(std::uint64_t(t.beyond));
+  for (const auto& l : t.links) {
+    auto* link = to->add_links();
+    link->set_peer(l.peer);
+    link->set_inward(l.inward);
+  }
+  for (const auto& f : t.findings) {
+    auto* finding = to->add_findings();
+    finding->set_dependency(f.dependency);
+    finding->set_out(f.out);
+  }
+}
+void put(const Record& r, wire::Record* to) {
+  to->set_name(r.name);
+  put(r.address, to->mutable_address());
+  to->set_life(std::uint64_t(r.life));
+  to->set_incarnation(r.incarnation);
+  to->set_status(std::uint32_t(r.status));
+  to->set_accuser(r.accuser);
+  to->set_age_ms(r.age_ms);
+  if (r.told) put(*r.told, to->mutable_told());
+}
+struct PutBody {
+  wire::Packet& to;
+  void operator()(const Ping& b) const {
+    to.mutable_ping()->set_nonce(b.nonce);
+    to.mutable_ping()->set_target(b.target);
+    to.mutable_ping()->set_asker(b.asker);
+  }
+  void operator()(const Ack& b) const {
+    to.mutable_ack()->set_nonce(b.nonce);
+    to.mutable_ack()->set_heard_ms(b.heard_ms);
+  }
+  void operator()(const Ask& b) const {
+    to.mutable_ask()->set_nonce(b.nonce);
+    to.mutable_ask()->set_target(b.target);
+    put(b.address, to.mutable_ask()->mutable_address());
+  }
+  void operator()(const Relayed& b) const {
+    to.mutable_relayed()->set_nonce(b.nonce);
+    to.mutable_relayed()->set_target(b.target);
+    to.mutable_relayed()->set_heard_ms(b.heard_ms);
+  }
+  void operator()(const Nack& b) const { to.mutable_nack()->set_nonce(b.nonce); }
+  void operator()(const ExchangeAsk& b) const {
+    to.mutable_exchange_ask()->set_nonce(b.nonce);
+    to.mutable_exchange_ask()->set_push(b.push);
+  }
+  void operator()(const Piece& b) const {
+    to.mutable_piece()->set_nonce(b.nonce);
+    to.mutable_piece()->set_index(b.index);
+    to.mutable_piece()->set_last(b.last);
+  }
+  void operator()(const TwinNotice& b) const { to.mutable_twin_notice()->set_to(std::uint64_t(b.to)); }
+  void operator()(const Tidings&) const { to.mutable_tidings(); }
+};
+
+// ---- Reading: everything is held against its bounds; the first fault spoils the whole datagram ----
+struct Reader {
+  bool good = true;
+  void need(bool that) { good = good && that; }
+  std::string name_of(const std::string& s, bool may_be_empty = false) {
+    need(s.size() <= kMostName && (may_be_empty || !s.empty()));
+    for (const char c : s) need(c > ' ' && c < 127);
+    return s;
+  }
+  Address address_of(const wire::Address& a) {
+    need((a.ip().size() == 4 || a.ip().size() == 16) && a.port() > 0 && a.port() <= 65535);
+    Address to;
+    if (!good) return to;
+    std::memcpy(to.ip.data(), a.ip().data(), a.ip().size());
+    to.v6 = a.ip().size() == 16;
+    to.port = std::uint16_t(a.port());
+    return to;
+  }
+  Told told_of(const wire::Told& t) {
+    need(t.stage() <= std::uint32_t(Stage::leaving) && t.warmth() <= 100 && t.pressed() <= 100);
+    need(t.zone().size() <= kMostZone && t.links_size() <= int(kMostLinkFaults) &&
+         t.findings_size() <= int(kMostFindings));
+    for (const char c : t.zone()) need(c > ' ' && c < 127);
+    Told to;
+    to.version = t.version();
+    to.stage = Stage(t.stage());
+    to.warmth = std::uint8_t(t.warmth());
+    to.pressed = std::uint8_t(t.pressed());
+    to.generation = t.generation();
+    to.zone = t.zone();
+    if (t.has_twin()) to.twin = address_of(t.twin());
+    to.beyond = Life(t.beyond());
+    for (const auto& l : t.links()) to.links.push_back({l.peer(), l.inward()});
+    for (const auto& f : t.findings()) to.findings.push_back({f.dependency(), f.out()});
+    return to;
+  }
+  Record record_of(const wire::Record& r) {
+    need(r.status() <= std::uint32_t(Status::left) && r.has_address());
+    Record to{name_of(r.name()),  address_of(r.address()),
+              Life(r.life()),     r.incarnation(),
+              Status(r.status()), r.accuser(),
+              r.age_ms(),         std::nullopt};
+    // Guards against a number from which no refutation could rise.
+    need(r.incarnation() < (std::uint64_t(1) << 62));
+    if (r.has_told()) to.told = told_of(r.told());
+    return to;
+  }
+  Body body_of(const wire::Packet& p) {
+    switch (p.body_case()) {
+      case wire::Packet::kPing:
+        return Ping{p.ping().nonce(), name_of(p.ping().target(), true), name_of(p.ping().asker(), true)};
+      case wire::Packet::kAck:
+        return Ack{p.ack().nonce(), p.ack().heard_ms()};
+      case wire::Packet::kAsk:
+        return Ask{p.ask().nonce(), name_of(p.ask().target()), address_of(p.ask().address())};
+      case wire::Packet::kRelayed:
+        return Relayed{p.relayed().nonce(), name_of(p.relayed().target()), p.relayed().heard_ms()};
+      case wire::Packet::kNack:
+        return Nack{p.nack().nonce()};
+      case wire::Packet::kExchangeAsk:
+        return ExchangeAsk{p.exchange_ask().nonce(), p.exchange_ask().push()};
+      case wire::Packet::kPiece:
+        need(p.piece().index() <= 65535);
+        return Piece{p.piece().nonce(), std::uint16_t(p.piece().index()), p.piece().last()};
+      case wire::Packet::kTwinNotice:
+        return TwinNotice{Life(p.twin_notice().to())};
+      case wire::Packet::kTidings:
+        return Tidings{};
+      default:
+        need(false);
+        return Tidings{};
+    }
+  }
+  Reply reply_of(const wire::Reply& r) {
+    Reply to;
+    to.nonce = r.nonce();
+    to.last = r.last();
+    to.next = r.next();
+    to.cluster = r.cluster();
+    to.name = r.name();
+    to.incarnation = r.incarnation();
+    need(r.stage() <= std::uint32_t(Stage::leaving) && r.hearing() <= std::uint32_t(Hearing::deaf));
+    to.stage = Stage(r.stage());
+    to.hearing = Hearing(r.hearing());
+    to.majority = r.majority();
+    to.uncertain = r.uncertain();
+    to.agreed = r.agreed();
+    for (const auto& l : r.lines()) {
+      need(l.stage() <= std::uint32_t(Stage::leaving) && l.status() <= std::uint32_t(Status::left) &&
+           l.certain() <= std::uint32_t(Status::left) && l.warmth() <= 100 && l.pressed() <= 100);
+      Line line{l.name(),
+                l.address(),
+                l.zone(),
+                l.twin(),
+                l.incarnation(),
+                Stage(l.stage()),
+                Status(l.status()),
+                Status(l.certain()),
+                l.reachable(),
+                l.since_ms(),
+                std::uint8_t(l.warmth()),
+                std::uint8_t(l.pressed()),
+                {},
+                {}};
+      line.unheard_from.assign(l.unheard_from().begin(), l.unheard_from().end());
+      line.not_reaching.assign(l.not_reaching().begin(), l.not_reaching().end());
+      to.lines.push_back(std::move(line));
+    }
+    return to;
+  }
+};
+
+}  // namespace
+
+std::string reseal(std::string bytes) {
+  const auto sum = XXH3_64bits(bytes.data() + kHead, bytes.size() - kHead);
+  for (std::size_t i = 0; i < 8; ++i) bytes[kMagic.size() + i] = char(sum >> (8 * i));
+  return bytes;
+}
+
+std::string encode(const Datagram& d, std::string_view cluster) {
+  wire::Packet p;
+  p.set_cluster(cluster.data(), cluster.size());
+  auto* from = p.mutable_from();
+  from->set_name(d.from.name);
+  put(d.from.address, from->mutable_address());
+  from->set_life(std::uint64_t(d.from.life));
+  from->set_incarnation(d.from.incarnation);
+  from->set_sent_ms(d.from.sent_ms);
+  std::visit(PutBody{p}, d.body);
+  for (const auto& r : d.updates) put(r, p.add_updates());
+  if (d.filler) p.set_filler(std::string(d.filler, '\0'));
+  return seal(p);
+}
+
+std::string encode(const Query& q) {
+  wire::Packet p;
+  p.mutable_query()->set_nonce(q.nonce);
+  p.mutable_query()->set_from(q.from);
+  return seal(p);
+}
+
+std::string encode(const Reply& r) {
+  wire::Packet p;
+  auto& to = *p.mutable_reply();
+  to.set_nonce(r.nonce);
+  to.set_last(r.last);
+  to.set_next(r.next);
+  to.set_cluster(r.cluster);
+  to.set_name(r.name);
+  to.set_incarnation(r.incarnation);
+  to.set_stage(std::uint32_t(r.stage));
+  to.set_hearing(std::uint32_t(r.hearing));
+  to.set_majority(r.majority);
+  to.set_uncertain(r.uncertain);
+  to.set_agreed(r.agreed);
+  for (const auto& l : r.lines) {
+    auto& line = *to.add_lines();
+    line.set_name(l.name);
+    line.set_address(l.address);
+    line.set_incarnation(l.incarnation);
+    line.set_zone(l.zone);
+    line.set_stage(std::uint32_t(l.stage));
+    line.set_status(std::uint32_t(l.status));
+    line.set_reachable(l.reachable);
+    line.set_since_ms(l.since_ms);
+    line.set_warmth(l.warmth);
+    line.set_pressed(l.pressed);
+    line.set_twin(l.twin);
+    for (const auto& n : l.unheard_from) line.add_unheard_from(n);
+    for (const auto& n : l.not_reaching) line.add_not_reaching(n);
+    line.set_certain(std::uint32_t(l.certain));
+  }
+  return seal(p);
+}
+
+Decoded decode(std::string_view bytes, std::string_view cluster) {
+  if (bytes.size() > kMostDatagram) return Bad::oversized;
+  if (bytes.size() < kHead || bytes.substr(0, kMagic.size()) != kMagic) return Bad::foreign;
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < 8; ++i) sum |= std::uint64_t(std::uint8_t(bytes[kMagic.size() + i])) << (8 * i);
+  if (sum != XXH3_64bits(bytes.data() + kHead, bytes.size() - kHead)) return Bad::checksum;
+  wire::Packet p;
+  if (!p.ParseFromArray(bytes.data() + kHead, int(bytes.size() - kHead))) return Bad::malformed;
+  if (p.has_query()) return Query{p.query().nonce(), p.query().from()};
+  Reader read;
+  if (p.has_reply()) {
+    auto reply = read.reply_of(p.reply());
+    if (!read.good) return Bad::malformed;
+    return reply;
+  }
+  if (p.cluster() != cluster) return Bad::other_cluster;
+  read.need(p.has_from() && p.from().has_address() && p.updates_size() <= kMostUpdates &&
+            p.from().incarnation() < (std::uint64_t(1) << 62));
+  Datagram d;
+  d.from = {read.name_of(p.from().name()), read.address_of(p.from().address()), Life(p.from().life()),
+            p.from().incarnation(), p.from().sent_ms()};
+  d.body = read.body_of(p);
+  for (const auto& r : p.updates()) {
+    if (!read.good) break;
+    d.updates.push_back(read.record_of(r));
+  }
+  d.filler = std::uint16_t(p.filler().size());
+  if (!read.good) return Bad::malformed;
+  return d;
+}
+
+std::string text_of(const Address& a) {
+  namespace ip = boost::asio::ip;
+  if (a.v6) return "[" + ip::address_v6(a.ip).to_string() + "]:" + std::to_string(a.port);
+  const ip::address_v4::bytes_type four{a.ip[0], a.ip[1], a.ip[2], a.ip[3]};
+  return ip::address_v4(four).to_string() + ":" + std::to_string(a.port);
+}
+
+const char* text_of(Bad bad) {
+  switch (bad) {
+    case Bad::oversized:
+      return "oversized";
+    case Bad::foreign:
+      return "foreign";
+    case Bad::checksum:
+      return "checksum";
+    case Bad::other_cluster:
+      return "other_cluster";
+    case Bad::malformed:
+      return "malformed";
+  }
+  return "?";
+}
+
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/src/membership_udp/codec.h
@@ -0,0 +1,58 @@
+// Datagrams as bytes: protobuf inside an envelope with a format version and a checksum. No socket.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "membership/datagram.h"
+#include "membership/own_health.h"
+
+namespace granitegap::membership_udp {
+
+// Why bytes are not a datagram of this cluster. Each is counted; none changes anything.
+enum class Bad : std::uint8_t { oversized, foreign, checksum, other_cluster, malformed };
+inline constexpr std::size_t kKindsOfBad = 5;
+const char* text_of(Bad bad);
+
+// What `granitegap members` asks and gets.
+struct Query {
+  std::uint32_t nonce = 0, from = 0;
+};
+struct Line {
+  std::string name, address, zone, twin;
+  membership::Incarnation incarnation = 0;
+  membership::Stage stage{};
+  membership::Status status{}, certain{};
+  bool reachable = true;
+  std::uint64_t since_ms = 0;
+  std::uint8_t warmth = 0, pressed = 0;
+  std::vector<std::string> unheard_from, not_reaching;
+};
+struct Reply {
+  std::uint32_t nonce = 0, next = 0;
+  bool last = false;
+  std::string cluster, name;
+  membership::Incarnation incarnation = 0;
+  membership::Stage stage{};
+  membership::Hearing hearing{};
+  bool majority = false, uncertain = false;
+  std::uint32_t agreed = 0;
+  std::vector<Line> lines;
+};
+
+std::string encode(const membership::Datagram& datagram, std::string_view cluster);
+std::string encode(const Query& query);
+std::string encode(const Reply& reply);
+using Decoded = std::variant<Bad, membership::Datagram, Query, Reply>;
+// A datagram only of this cluster; queries and replies belong to none.
+Decoded decode(std::string_view bytes, std::string_view cluster);
+
+// The same bytes with the checksum that fits them: for tests that damage what lies behind it.
+std::string reseal(std::string bytes);
+
+// "127.0.0.1:9101", "[::1]:9101".
+std::string text_of(const membership::Address& address);
+
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/src/membership_udp/settings.h
@@ -0,0 +1,16 @@
+// Where and how this process takes part in the fleet, as an operator declares it.
+#pragma once
+#include <string>
+
+#include "membership/options.h"
+
+namespace granitegap::membership_udp {
+
+struct Settings {
+  std::string cluster, zone;
+  membership::Address bind, advertise;
+  membership::Options options;
+  bool operator==(const Settings&) const = default;
+};
+
+}  // namespace granitegap::membership_udp
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -30,6 +30,22 @@
   return deps::EndpointSpec{host, port};
 }
 
+std::optional<membership::Address> numeric_address(const std::string& text) {
+  const auto e = endpoint(text);
+  if (!e) return std::nullopt;
+  const auto ip = boost::asio::ip::make_address(e->host);
+  membership::Address a;
+  a.port = e->port;
+  a.v6 = ip.is_v6();
+  if (a.v6) {
+    a.ip = ip.to_v6().to_bytes();
+  } else {
+    const auto four = ip.to_v4().to_bytes();
+    std::copy(four.begin(), four.end(), a.ip.begin());
+  }
+  return a;
+}
+
 class Reader {
  public:
   Reader(const std::string& file, Errors& errors) : file_(file), errors_(errors) {}
@@ -52,6 +68,7 @@
     to.spec.cache_bytes = top["cache"].as_size();
     to.spec.remember_failures = top["remember_failures"].as_span();
     to.connections = std::size_t(top["connections"].as_int());
+    if (const auto* m = top.find("membership")) to.membership = membership(*m);
   }
 
  private:
@@ -161,6 +178,56 @@
     return p;
   }
 
+  membership_udp::Settings membership(const Value& v) {
+    membership_udp::Settings m;
+    const std::string path = "membership";
+    const auto plain = [](const std::string& s) {
+      return std::all_of(s.begin(), s.end(), [](char c) { return c > ' ' && c < 127; });
+    };
+    const auto read = [&](const Value& from, const std::string& here) {
+      const auto a = numeric_address(from.as_text());
+      if (!a) fail(from, here, "expected a numeric address and a port, as \"127.0.0.1:9101\"");
+      return a.value_or(membership::Address{});
+    };
+    m.cluster = v["cluster"].as_text();
+    m.zone = v["zone"].as_text();
+    if (!plain(m.cluster)) fail(v["cluster"], path + ".cluster", "expected a name without spaces");
+    if (!plain(m.zone)) fail(v["zone"], path + ".zone", "expected a name without spaces");
+    m.bind = read(v["bind"], path + ".bind");
+    const auto* advertise = v.find("advertise");
+    m.advertise = advertise ? read(*advertise, path + ".advertise") : m.bind;
+    if (!advertise && m.bind && std::all_of(m.bind.ip.begin(), m.bind.ip.end(), [](auto b) { return !b; }))
+      fail(v["bind"], path + ".bind", "others can't reach this address: expected advertise beside it");
+    if (m.bind && m.advertise && m.bind.v6 != m.advertise.v6)
+      fail(*advertise, path + ".advertise", "expected the same family of addresses as bind");
+    const auto& seeds = v["seeds"].as_list();
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+      const auto here = path + ".seeds[" + std::to_string(i) + "]";
+      const auto seed = read(seeds[i], here);
+      if (seed && m.bind && seed.v6 != m.bind.v6)
+        fail(seeds[i], here, "expected the same family of addresses as bind");
+      m.options.seeds.push_back(seed);
+    }
+    auto& o = m.options;
+    o.period = v["period"].as_span();
+    o.late_least = v["late_least"].as_span();
+    o.indirect = unsigned(v["indirect"].as_int());
+    o.suspicion = v["suspicion"].as_number();
+    o.suspicion_most = v["suspicion_most"].as_number();
+    o.confirmations = unsigned(v["confirmations"].as_int());
+    o.spread = unsigned(v["spread"].as_int());
+    o.mass_share = v["mass_share"].as_number();
+    o.shrink_after = v["shrink_after"].as_span();
+    o.forget_after = v["forget_after"].as_span();
+    o.believe_for = v["believe_for"].as_span();
+    o.expected = std::size_t(v["expected"].as_int());
+    o.members_most = std::size_t(v["members_most"].as_int());
+    // Guards against a late word that raises one of whom nobody knows any more that it is dead.
+    if (2 * o.believe_for > o.forget_after)
+      fail(v["believe_for"], path + ".believe_for", "expected no more than half of forget_after");
+    return m;
+  }
+
   static std::string known_names(const deps::Spec& spec) {
     std::string names;
     for (const auto& d : spec.dependencies) names += (names.empty() ? "" : ", ") + d.name;
@@ -180,6 +247,8 @@
   return document;
 }
 
+std::optional<membership::Address> read_address(const std::string& text) { return numeric_address(text); }
+
 std::variant<Declared, Errors> read(const records::Document& document) {
   auto checked = records::validate(document, schema(), "#Operator");
   if (auto* errors = std::get_if<Errors>(&checked)) return std::move(*errors);
--- a/src/operators/operator_file.h
+++ b/src/operators/operator_file.h
@@ -1,6 +1,7 @@
 // The operator's own file, made ready: what it declares, checked against its schema and in itself.
 #pragma once
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -8,6 +9,7 @@
 
 #include "deps/spec.h"
 #include "edge/types.h"
+#include "membership_udp/settings.h"
 #include "records/records.h"
 
 namespace granitegap::operators {
@@ -18,6 +20,7 @@
   deps::Spec spec;                                                 // its classes are numbered by bind()
   std::vector<std::pair<std::string, records::Position>> classes;  // of the gathers, in order
   std::size_t connections = 128;
+  std::optional<membership_udp::Settings> membership;
   records::Value filled;  // the file, with defaults
   std::string file;
 };
@@ -25,6 +28,8 @@
 // The schema that the program carries (deploy/operator.schema.cue).
 const records::Document& schema();
 // A Declared, or every error there is.
+// "127.0.0.1:9101", "[::1]:9101"; absent where it is none.
+std::optional<membership::Address> read_address(const std::string& text);
 std::variant<Declared, Errors> read(const records::Document& document);
 std::variant<Declared, Errors> load(const std::string& path);
 // Numbers the classes as the platform's settings do; names those that it does not know.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <exception>
+#include <random>
 
 #include "parts/compose.h"
 
@@ -57,18 +58,41 @@
       log_(config_.name, extras_.log),
       module_(
           context.get_executor(), make_edge(config_, extras_), config_.limits.memory_mb,
-          [this](edge::Output output) { dispatch(std::move(output)); }, std::move(clocks)),
+          [this](edge::Output output) { dispatch(std::move(output)); }, clocks),
       link_(context.get_executor(), address<asio::ip::tcp>(config_.kernel), config_.catalog,
             module_.mailbox(), log_),
       announcer_(context.get_executor(), address<asio::ip::udp>(config_.announce), config_.name, log_),
       listener_(context.get_executor(), address<asio::ip::tcp>(config_.listen),
                 sockets_for_peers(config_, extras_), config_.catalog, module_.mailbox(), log_) {
+  clocks_ = std::move(clocks);
   if (!extras_.declared) return;
+  if (extras_.declared->membership) join_fleet();
   // Ends of calls always find room: the limits on open calls bound their number.
   caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
 }
 
+// A life of its own at each start: the platform's seed is new then, and the clock tells most lives apart.
+void Server::join_fleet() {
+  const auto now = clocks_();
+  const auto unix_ms = std::uint64_t(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.unix.time_since_epoch()).count());
+  std::mt19937_64 random(config_.seed ^ std::uint64_t(now.unix.time_since_epoch().count()));
+  const auto life = random();
+  membership_udp::Actor::Hooks hooks;
+  hooks.clock = [this] { return clocks_().steady; };
+  hooks.own = [this] {
+    auto s = module_.edge().standing(clocks_().steady);
+    return membership_udp::Actor::Own{s.stage, s.warmth, s.pressed, std::move(s.findings)};
+  };
+  hooks.view = [this](std::shared_ptr<const membership::View> view) {
+    module_.mailbox().post_control(edge::FleetNews{std::move(view)});
+  };
+  fleet_ =
+      std::make_unique<membership_udp::Actor>(context_.get_executor(), *extras_.declared->membership,
+                                              config_.name, life, unix_ms, random(), std::move(hooks), log_);
+}
+
 void Server::start() {
   spawn(module_.run());
   spawn(link_.run());
@@ -76,6 +100,10 @@
   spawn(listener_.run());
   spawn(listener_.mind_peers());
   if (caller_) spawn(caller_->mind_idle());
+  if (fleet_) {
+    spawn(fleet_->receive());
+    spawn(fleet_->run());
+  }
   const auto at = local();
   log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()),
             {{"event", "listening"}, {"port", std::int64_t(at.port())}});
@@ -94,24 +122,26 @@
 }
 
 void Server::dispatch(edge::Output output) {
-  if (auto* answer = std::get_if<edge::Answer>(&output)) {
-    const auto to = answer->to;
-    listener_.deliver(to, std::move(*answer));
-  } else if (const auto* health = std::get_if<edge::HealthAnswer>(&output)) {
-    listener_.deliver(health->to, *health);
-  } else if (const auto* command = std::get_if<edge::Command>(&output)) {
-    link_.send(*command);
-  } else if (const auto* report = std::get_if<edge::Report>(&output)) {
-    announcer_.report(*report);
-  } else if (const auto* idle = std::get_if<edge::CloseIdlePeers>(&output)) {
-    listener_.close_idle(idle->idle_for);
-  } else if (const auto* remark = std::get_if<edge::Remark>(&output)) {
-    log_.line(remark->text, {{"event", remark->event}, {"subject", remark->subject}});
-  } else if (auto* call = std::get_if<edge::CallBelow>(&output)) {
-    if (caller_) caller_->start(std::move(*call));
-  } else if (const auto* drop = std::get_if<edge::DropCall>(&output)) {
-    if (caller_) caller_->abandon(drop->id);
-  }
+  std::visit([this](auto& o) { carry_out(std::move(o)); }, output);
+}
+
+// One for each kind of output: a new one without does not compile.
+void Server::carry_out(edge::Answer&& answer) {
+  const auto to = answer.to;
+  listener_.deliver(to, std::move(answer));
+}
+void Server::carry_out(edge::HealthAnswer&& health) { listener_.deliver(health.to, health); }
+void Server::carry_out(edge::Command&& command) { link_.send(command); }
+void Server::carry_out(edge::Report&& report) { announcer_.report(report); }
+void Server::carry_out(edge::CloseIdlePeers&& idle) { listener_.close_idle(idle.idle_for); }
+void Server::carry_out(edge::Remark&& remark) {
+  log_.line(remark.text, {{"event", remark.event}, {"subject", remark.subject}});
+}
+void Server::carry_out(edge::CallBelow&& call) {
+  if (caller_) caller_->start(std::move(call));
+}
+void Server::carry_out(edge::DropCall&& drop) {
+  if (caller_) caller_->abandon(drop.id);
 }
 
 void Server::drain() {
@@ -165,6 +195,11 @@
   if (fresh.connections != extras_.declared->connections)
     log_.line("reload: changed but kept until a restart: connections",
               {{"event", "reload_kept"}, {"kept", "connections"}});
+  if (fresh.membership.has_value() != (fleet_ != nullptr))
+    log_.line("reload: changed but kept until a restart: membership",
+              {{"event", "reload_kept"}, {"kept", "membership"}});
+  else if (fleet_)
+    fleet_->change(*fresh.membership);
   const auto connections = extras_.declared->connections;
   extras_.declared = std::move(fresh);
   extras_.declared->connections = connections;
@@ -188,7 +223,11 @@
   while (Clock::now() < end) {
     timer.expires_after(kLook);
     co_await timer.async_wait(asio::use_awaitable);
-    if (Clock::now() >= crossed && module_.at_rest() && listener_.at_rest()) break;
+    if (Clock::now() < crossed || !module_.at_rest() || !listener_.at_rest()) continue;
+    // Nothing is owed any more: the fleet hears that this one leaves, and it waits for some of them to know.
+    if (!fleet_) break;
+    fleet_->leave();
+    if (fleet_->has_left()) break;
   }
   const bool all = module_.at_rest() && listener_.at_rest();
   log_.line(all ? "left: all answered" : "left: with answers unsent",
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -10,6 +10,7 @@
 #include "edge/module_actor.h"
 #include "kernel/link.h"
 #include "log/logger.h"
+#include "membership_udp/actor.h"
 #include "net/listener.h"
 #include "operators/operator_file.h"
 
@@ -41,7 +42,16 @@
  private:
   void spawn(boost::asio::awaitable<void> actor);
   void dispatch(edge::Output output);
+  void carry_out(edge::Answer&& answer);
+  void carry_out(edge::HealthAnswer&& health);
+  void carry_out(edge::Command&& command);
+  void carry_out(edge::Report&& report);
+  void carry_out(edge::CloseIdlePeers&& idle);
+  void carry_out(edge::Remark&& remark);
+  void carry_out(edge::CallBelow&& call);
+  void carry_out(edge::DropCall&& drop);
   boost::asio::awaitable<void> leave();
+  void join_fleet();
 
   static edge::Edge make_edge(const config::Config& config, const Extras& extras);
   static std::size_t sockets_for_peers(const config::Config& config, const Extras& extras);
@@ -55,6 +65,8 @@
   announce::Announcer announcer_;
   net::Listener listener_;
   std::optional<deps_http::Caller> caller_;
+  std::unique_ptr<membership_udp::Actor> fleet_;  // only where it is declared
+  edge::ModuleActor::Clocks clocks_;
   bool leaving_ = false;
 };
 
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,293 @@
+// Membership between real processes: each test starts several granitegap processes behind a stand-in network,
+// has some of them fail, and waits for what the others come to hold. Counts and conditions decide, never
+// times; the bounds only end a test that waits for what never comes.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "fleet/runner.h"
+#include "membership_udp/actor.h"
+
+namespace granitegap::fleet {
+namespace {
+
+using membership::Hearing;
+using membership::Status;
+using namespace std::chrono_literals;
+
+constexpr auto kLong = 60s;
+
+Options options(std::size_t size) {
+  Options o;
+  o.program = PROGRAM;
+  o.size = size;
+  o.membership = "period: 200ms";
+  return o;
+}
+
+struct Trial : Fleet {
+  explicit Trial(std::size_t size, Options o) : Fleet((o.size = size, o)) {}
+  explicit Trial(std::size_t size) : Fleet(options(size)) {}
+  void form() {
+    start_all();
+    ASSERT_TRUE(until([&] { return agree() && all_count(names().size()); }, kLong)) << log("n0");
+  }
+  // The agreed fleet has so many for everybody.
+  bool all_count(std::size_t n) const {
+    for (const auto& name : running())
+      if (const auto v = view(name); !v || v->agreed != n) return false;
+    return true;
+  }
+  Hearing hearing(const std::string& name) const { return view(name).value().hearing; }
+  std::size_t times(const std::string& name, const std::string& line) const {
+    const auto text = log(name);
+    std::size_t n = 0;
+    for (std::size_t at = 0; (at = text.find(line, at)) != std::string::npos; ++at) ++n;
+    return n;
+  }
+  // Nobody but these was held dead by anybody.
+  void only_these_died(const Names& these) const {
+    for (const auto& who : names())
+      for (const auto& of : names())
+        if (!these.contains(of)) {
+          EXPECT_EQ(times(who, "membership: " + of + " is held dead"), 0u) << who << " of " << of;
+        }
+  }
+};
+
+TEST(Fleet, AgreesAndShowsItself) {
+  Trial f(3);
+  f.form();
+  EXPECT_TRUE(f.until(
+      [&] {
+        const auto v = f.view("n1");
+        for (const auto& l : v->lines)
+          if (l.stage != membership::Stage::serving) return false;
+        return v->lines.size() == 3;
+      },
+      kLong));
+  const auto json = nlohmann::json::parse(membership_udp::to_json(f.view("n0").value()));
+  EXPECT_EQ(json["cluster"], "trial");
+  EXPECT_EQ(json["self"]["name"], "n0");
+  EXPECT_EQ(json["self"]["heard"], "ok");
+  EXPECT_EQ(json["majority"], true);
+  EXPECT_EQ(json["members"].size(), 3u);
+}
+
+// The command itself: what it prints, and its exit status where nobody answers.
+TEST(Fleet, TheMembersCommandAsksAndSaysSoWhereNobodyAnswers) {
+  Trial f(2);
+  f.form();
+  const auto run = [](const std::string& words) {
+    std::string out;
+    auto* pipe = ::popen((std::string(PROGRAM) + " members " + words + " 2>&1").c_str(), "r");
+    char buffer[512];
+    while (const auto n = std::fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, n);
+    return std::pair(WEXITSTATUS(::pclose(pipe)), out);
+  };
+  const auto address = membership_udp::text_of(f.bound("n0"));
+  const auto [good, object] = run(address + " --json");
+  EXPECT_EQ(good, 0);
+  EXPECT_EQ(nlohmann::json::parse(object)["members"].size(), 2u);
+  EXPECT_NE(run(address).second.find("n1"), std::string::npos);
+  f.kill("n0");
+  const auto [silent, line] = run(address);
+  EXPECT_EQ(silent, 1);
+  EXPECT_EQ(line, "granitegap: no answer from " + address + " within 2 s\n");
+  EXPECT_EQ(run("nonsense").first, 2);
+}
+
+TEST(Fleet, AKilledOneIsFoundAndItsNextLifeSupersedesIt) {
+  Trial f(5);
+  f.form();
+  f.kill("n2");
+  EXPECT_TRUE(f.until([&] { return f.all_hold("n2", Status::dead); }, kLong));
+  f.start("n2");
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({"n2"});
+}
+
+TEST(Fleet, AnImmediateRestartIsNoTwin) {
+  Trial f(5);
+  f.form();
+  f.kill("n2");
+  f.start("n2");
+  EXPECT_TRUE(
+      f.until([&] { return f.agree() && f.times("n0", "membership: n2 has restarted") == 1; }, kLong));
+  for (const auto& name : f.names()) EXPECT_EQ(f.times(name, "lives under this name"), 0u);
+}
+
+TEST(Fleet, APauseEndsWithoutBlame) {
+  Trial f(6);
+  f.form();
+  f.pause("n3");
+  EXPECT_TRUE(f.until([&] { return f.all_hold("n3", Status::dead); }, kLong));
+  f.resume("n3");
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({"n3"});
+}
+
+TEST(Fleet, HalfPausedTogetherAndWokenKeepsEverybody) {
+  Trial f(6);
+  f.form();
+  for (const char* name : {"n0", "n1", "n2"}) f.pause(name);
+  EXPECT_TRUE(f.until(
+      [&] {
+        for (const auto& name : f.running())
+          if (f.view(name)->majority) return false;
+        return true;
+      },
+      kLong));
+  for (const char* name : {"n0", "n1", "n2"}) f.resume(name);
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({});
+}
+
+TEST(Fleet, AOneSidedCutIsShownByBothEnds) {
+  Trial f(6);
+  f.form();
+  const auto cut = f.cut({"n1"}, {"n2"});
+  const auto shown = [&](const std::string& at) {
+    const auto v = f.view(at);
+    bool unheard = false, not_reaching = false;
+    for (const auto& l : v->lines) {
+      if (l.name == "n2") unheard = l.unheard_from == std::vector<std::string>{"n1"};
+      if (l.name == "n1") not_reaching = l.not_reaching == std::vector<std::string>{"n2"};
+    }
+    return unheard && not_reaching;
+  };
+  EXPECT_TRUE(f.until([&] { return shown("n1") && shown("n2") && shown("n5"); }, kLong));
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return !shown("n1") && !shown("n2"); }, kLong));
+  f.only_these_died({});
+}
+
+TEST(Fleet, WhoIsHeardByNobodyKnowsItAndComesBackWithoutARestart) {
+  Trial f(6);
+  f.form();
+  const auto cut = f.cut({"n4"}, {});
+  EXPECT_TRUE(f.until([&] { return f.hearing("n4") == Hearing::unheard; }, kLong));
+  EXPECT_FALSE(f.view("n4")->majority);
+  EXPECT_TRUE(f.until([&] { return f.holds("n0", "n4") == Status::dead; }, kLong));
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return f.agree() && f.hearing("n4") == Hearing::ok; }, kLong));
+  f.only_these_died({"n4"});
+}
+
+TEST(Fleet, WhoHearsNobodyKnowsIt) {
+  Trial f(6);
+  f.form();
+  const auto cut = f.cut({}, {"n4"});
+  EXPECT_TRUE(f.until([&] { return f.hearing("n4") == Hearing::deaf; }, kLong));
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return f.agree() && f.hearing("n4") == Hearing::ok; }, kLong));
+  f.only_these_died({"n4"});
+}
+
+TEST(Fleet, HalvesHealWithoutADeath) {
+  Trial f(6);
+  f.form();
+  const auto cut = f.cut({"n0", "n1", "n2"}, {"n3", "n4", "n5"}, true);
+  EXPECT_TRUE(f.until(
+      [&] {
+        for (const auto& name : f.names())
+          if (f.view(name)->majority || !f.view(name)->uncertain) return false;
+        return true;
+      },
+      kLong));
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({});
+}
+
+TEST(Fleet, TheLargerPartGoesOnAndTheSmallerKeepsItsCertainView) {
+  Trial f(7);
+  f.form();
+  const auto cut = f.cut({"n5", "n6"}, {"n0", "n1", "n2", "n3", "n4"}, true);
+  EXPECT_TRUE(f.until(
+      [&] {
+        const auto small = f.view("n5"), large = f.view("n0");
+        return large->majority && f.holds("n0", "n5") == Status::dead && !small->majority && small->uncertain;
+      },
+      kLong));
+  const auto small = f.view("n5").value();
+  for (const auto& l : small.lines) EXPECT_EQ(l.certain, Status::alive) << l.name;
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+}
+
+TEST(Fleet, LossAndBurstsKillNobody) {
+  Trial f(6);
+  f.form();
+  standin::Rule loss;
+  loss.loss = 0.3;
+  f.rule(loss);
+  standin::Rule bursts;
+  bursts.burst_loss = 1;
+  bursts.good_for = 3s;
+  bursts.bad_for = 400ms;
+  f.rule(bursts);
+  // So much has passed, whatever the machine's pace.
+  EXPECT_TRUE(f.until([&] { return f.seen().lost > 800; }, kLong));
+  f.mend_all();
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({});
+}
+
+TEST(Fleet, TwoUnderOneNameBothSaySo) {
+  Trial f(4);
+  f.form();
+  const auto twin = f.start_twin("n1");
+  EXPECT_TRUE(f.until(
+      [&] {
+        return f.times("n1", "another process lives under this name") == 1 &&
+               f.times(twin, "another process lives under this name") == 1;
+      },
+      kLong));
+  f.kill(twin);
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+}
+
+TEST(Fleet, ForeignAndBrokenDatagramsChangeNothing) {
+  Trial f(3);
+  f.form();
+  std::mt19937_64 random(7);
+  const membership::Datagram valid{
+      {"n1", f.advertised("n1"), membership::Life(1), 1, 1}, membership::Ping{1, "n0", {}}, {}, 0};
+  for (int k = 0; k < 5000; ++k) {
+    std::string bytes(random() % 1500, '\0');
+    for (auto& c : bytes) c = char(random());
+    f.inject("n1", "n0", std::move(bytes));
+    f.inject("n1", "n0", membership_udp::encode(valid, "another"));
+    f.inject("n1", "n0", membership_udp::encode(valid, "trial"));  // of a life that never was
+  }
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({});
+  EXPECT_EQ(f.times("n0", "has restarted"), 0u);
+}
+
+TEST(Fleet, AnOrderlyEndIsNoDeath) {
+  Trial f(4);
+  f.form();
+  f.end("n3");
+  EXPECT_TRUE(f.until([&] { return f.ended("n3"); }, kLong));
+  EXPECT_EQ(f.status("n3"), 0);
+  EXPECT_TRUE(f.until([&] { return f.all_hold("n3", Status::left); }, kLong));
+  EXPECT_TRUE(f.until([&] { return f.all_count(3); }, kLong));
+  f.only_these_died({});
+}
+
+TEST(Fleet, AnOrderlyEndWhileCutOffEndsAllTheSame) {
+  Trial f(4);
+  f.form();
+  f.cut({"n3"}, {}, true);
+  f.end("n3");
+  EXPECT_TRUE(f.until([&] { return f.ended("n3"); }, kLong));
+  EXPECT_EQ(f.status("n3"), 0);
+  EXPECT_TRUE(f.until([&] { return f.all_hold("n3", Status::dead); }, kLong));
+}
+
+}  // namespace
+}  // namespace granitegap::fleet
--- /dev/null
+++ b/tests/membership_codec_test.cpp
@@ -0,0 +1,166 @@
+// The codec of membership's datagrams: what it makes it reads again, within the bounds that the decisions
+// count with; what is not ours changes nothing.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "membership_udp/codec.h"
+
+namespace granitegap::membership_udp {
+namespace {
+
+using namespace membership;
+
+struct Maker {
+  std::mt19937_64 random;
+  std::uint64_t upto(std::uint64_t n) { return random() % (n + 1); }
+  std::string name(std::size_t most) { return std::string(1 + upto(most - 1), char('a' + upto(25))); }
+  std::uint32_t any32() { return std::uint32_t(random()) >> upto(31); }
+  Address address() {
+    Address a;
+    a.v6 = upto(1);
+    for (std::size_t i = 0; i < (a.v6 ? 16u : 4u); ++i) a.ip[i] = std::uint8_t(random());
+    a.port = std::uint16_t(1 + upto(65534));
+    return a;
+  }
+  Told told() {
+    Told t{any32(),
+           Stage(upto(4)),
+           std::uint8_t(upto(100)),
+           std::uint8_t(upto(100)),
+           random(),
+           {},
+           {},
+           Life(random()),
+           {},
+           {}};
+    t.zone = upto(1) ? name(kMostZone) : "";
+    if (upto(1)) t.twin = address();
+    for (auto k = upto(kMostLinkFaults); k > 0; --k) t.links.push_back({random(), upto(1) == 1});
+    for (auto k = upto(kMostFindings); k > 0; --k) t.findings.push_back({random(), upto(1) == 1});
+    return t;
+  }
+  Record record() {
+    Record r{name(kMostName), address(), Life(random()), random() >> 2,
+             Status(upto(3)), random(),  any32(),        std::nullopt};
+    if (upto(1)) r.told = told();
+    return r;
+  }
+  Body body() {
+    switch (upto(8)) {
+      case 0:
+        return Ping{any32(), upto(1) ? name(kMostName) : "", upto(1) ? name(kMostName) : ""};
+      case 1:
+        return Ack{any32(), any32()};
+      case 2:
+        return Ask{any32(), name(kMostName), address()};
+      case 3:
+        return Relayed{any32(), name(kMostName), any32()};
+      case 4:
+        return Nack{any32()};
+      case 5:
+        return ExchangeAsk{any32(), upto(1) == 1};
+      case 6:
+        return Piece{any32(), std::uint16_t(upto(65535)), upto(1) == 1};
+      case 7:
+        return TwinNotice{Life(random())};
+      default:
+        return Tidings{};
+    }
+  }
+  Datagram datagram() {
+    Datagram d{{name(kMostName), address(), Life(random()), random() >> 2, any32()}, body(), {}, 0};
+    for (;;) {
+      auto r = record();
+      if (most_bytes(d) + most_bytes(r) > kMostDatagram || upto(7) == 0) break;
+      d.updates.push_back(std::move(r));
+    }
+    if (upto(3) == 0 && most_bytes(d) + 3 < kMostDatagram)
+      d.filler = std::uint16_t(upto(kMostDatagram - most_bytes(d) - 3));
+    return d;
+  }
+};
+
+TEST(MembershipCodec, ReadsWhatItMakesWithinItsBounds) {
+  Maker make{std::mt19937_64(1)};
+  const std::string cluster(kMostName, 'c');
+  for (int k = 0; k < 5000; ++k) {
+    const auto d = make.datagram();
+    const auto bytes = encode(d, cluster);
+    ASSERT_LE(bytes.size(), most_bytes(d));
+    const auto back = decode(bytes, cluster);
+    ASSERT_TRUE(std::holds_alternative<Datagram>(back));
+    ASSERT_EQ(std::get<Datagram>(back), d);
+  }
+}
+
+TEST(MembershipCodec, DamageIsACountedValue) {
+  Maker make{std::mt19937_64(2)};
+  for (int k = 0; k < 10000; ++k) {
+    auto bytes = encode(make.datagram(), "c");
+    const auto kind = make.upto(2);
+    if (kind == 0) bytes[make.upto(bytes.size() - 1)] ^= char(1 << make.upto(7));
+    if (kind == 1) bytes.resize(make.upto(bytes.size() - 1));
+    if (kind == 2) bytes += std::string(1 + make.upto(40), 'x');
+    ASSERT_TRUE(std::holds_alternative<Bad>(decode(bytes, "c")));
+  }
+}
+
+// Seeded mutations behind a checksum that is right, so that the reader itself meets them.
+TEST(MembershipCodec, AnythingBehindAGoodChecksumIsReadOrRefused) {
+  Maker make{std::mt19937_64(3)};
+  int read = 0;
+  for (int k = 0; k < 20000; ++k) {
+    auto bytes = encode(make.datagram(), "c");
+    for (auto flips = 1 + make.upto(6); flips > 0; --flips)
+      bytes[12 + make.upto(bytes.size() - 13)] = char(make.random());
+    if (make.upto(3) == 0) bytes.resize(12 + make.upto(bytes.size() - 12));
+    const auto again = reseal(bytes);
+    const auto back = decode(again, "c");
+    if (const auto* d = std::get_if<Datagram>(&back)) {
+      ++read;
+      ASSERT_LE(d->from.name.size(), kMostName);
+      for (const auto& r : d->updates) ASSERT_TRUE(!r.name.empty() && r.name.size() <= kMostName);
+      (void)encode(*d, "c");
+    }
+  }
+  EXPECT_GT(read, 0);
+}
+
+TEST(MembershipCodec, AnotherClusterIsForeign) {
+  Maker make{std::mt19937_64(4)};
+  const auto bytes = encode(make.datagram(), "one");
+  EXPECT_EQ(std::get<Bad>(decode(bytes, "two")), Bad::other_cluster);
+  EXPECT_EQ(std::get<Bad>(decode(std::string(2000, 'x'), "two")), Bad::oversized);
+  EXPECT_EQ(std::get<Bad>(decode("", "two")), Bad::foreign);
+}
+
+TEST(MembershipCodec, QueriesAndRepliesBelongToNoCluster) {
+  const auto q = decode(encode(Query{7, 3}), "any");
+  ASSERT_TRUE(std::holds_alternative<Query>(q));
+  EXPECT_EQ(std::get<Query>(q).from, 3u);
+  Reply reply;
+  reply.cluster = "c";
+  reply.name = "n1";
+  reply.lines.push_back({"n2",
+                         "127.0.0.1:9",
+                         "z",
+                         "",
+                         5,
+                         Stage::serving,
+                         Status::suspect,
+                         Status::alive,
+                         false,
+                         99,
+                         50,
+                         20,
+                         {"n3"},
+                         {}});
+  const auto r = decode(encode(reply), "other");
+  ASSERT_TRUE(std::holds_alternative<Reply>(r));
+  EXPECT_EQ(std::get<Reply>(r).lines.at(0).unheard_from.at(0), "n3");
+  EXPECT_EQ(std::get<Reply>(r).lines.at(0).status, Status::suspect);
+}
+
+}  // namespace
+}  // namespace granitegap::membership_udp
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,535 @@
+// Membership's hard cases in a simulated fleet: virtual clock, fixed seeds, the same verdict each run.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "fleet/simulated.h"
+
+namespace granitegap::membership {
+namespace {
+
+using fleet::Simulated;
+using standin::Rule;
+using namespace std::chrono_literals;
+
+struct Fleet : Simulated {
+  explicit Fleet(std::size_t n, std::uint64_t seed = 1, Options options = {}) : Simulated(options, seed, n) {
+    on_change = [this](Node who, const Change& c) {
+      if (c.own && c.kind == ChangeKind::died) dead_by[c.name].insert(who);
+    };
+  }
+  void form() {
+    start_all(1s);
+    ASSERT_TRUE(run_until([&] { return agree(); }, 30s));
+    run_for(3s);
+    reset_figures();
+    dead_by.clear();
+  }
+  std::set<std::string> names(Node from, Node to) {
+    std::set<std::string> s;
+    for (Node n = from; n < to; ++n) s.insert(name(n));
+    return s;
+  }
+  standin::Weather::RuleId cut(std::set<std::string> from, std::set<std::string> to, bool both = true) {
+    Rule r;
+    r.from = std::move(from);
+    r.to = std::move(to);
+    r.both = both;
+    r.cut = true;
+    return weather().add(r);
+  }
+  standin::Weather::RuleId loss(double share) {
+    Rule r;
+    r.loss = share;
+    return weather().add(r);
+  }
+  std::map<std::string, std::set<Node>> dead_by;
+};
+
+TEST(Membership, AFleetAgreesAndStaysCalm) {
+  Fleet f(24);
+  f.form();
+  f.run_for(60s);
+  EXPECT_TRUE(f.agree());
+  EXPECT_EQ(f.figures().false_dead, 0u);
+  EXPECT_EQ(f.figures().flaps, 0u);
+  EXPECT_LE(f.figures().largest, kMostDatagram);
+  for (std::size_t n = 0; n < f.size(); ++n) {
+    EXPECT_TRUE(f.member(n).majority());
+    EXPECT_FALSE(f.member(n).uncertain());
+    EXPECT_EQ(f.member(n).agreed(), 24u);
+  }
+  const double a_second = double(f.figures().datagrams) * 2 / 60 / 24;
+  EXPECT_LT(a_second, 20);
+}
+
+TEST(Membership, AKilledOneIsFoundByAll) {
+  Fleet f(48);
+  f.form();
+  f.kill(7);
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(7, Status::dead); }, 4s));
+  EXPECT_EQ(f.figures().false_dead, 0u);
+}
+
+TEST(Membership, AThirdKilledAtOnceIsFoundAndNobodyElse) {
+  Fleet f(48);
+  f.form();
+  for (std::size_t n = 0; n < 16; ++n) f.kill(n);
+  EXPECT_TRUE(f.run_until(
+      [&] {
+        for (std::size_t n = 0; n < 16; ++n)
+          if (!f.all_know(n, Status::dead)) return false;
+        return true;
+      },
+      8s));
+  EXPECT_EQ(f.figures().false_dead, 0u);
+}
+
+// Without the stretched times and refutations that `plain` lacks, the same loss kills: else it proves
+// nothing.
+TEST(Membership, LossKillsNobody) {
+  for (const bool plain : {false, true}) {
+    Options options;
+    options.plain = plain;
+    Fleet f(32, 3, options);
+    f.form();
+    f.loss(0.3);
+    f.run_for(60s);
+    if (plain) {
+      EXPECT_GT(f.figures().false_dead, 0u);
+    } else {
+      EXPECT_EQ(f.figures().false_dead, 0u);
+    }
+  }
+}
+
+TEST(Membership, BurstsOfTotalLossKillNobody) {
+  Fleet f(24, 5);
+  f.form();
+  Rule r;
+  r.burst_loss = 1;
+  r.good_for = 10s;
+  r.bad_for = 2s;
+  f.weather().add(r);
+  f.run_for(60s);
+  EXPECT_EQ(f.figures().false_dead, 0u);
+}
+
+TEST(Membership, APauseShorterThanSuspicionIsForgiven) {
+  Fleet f(16);
+  f.form();
+  f.pause(3);
+  f.run_for(1200ms);
+  f.resume(3);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 10s));
+  EXPECT_TRUE(f.dead_by.empty());
+}
+
+TEST(Membership, ALongPauseIsADeathAndWhoWakesBlamesNobody) {
+  Fleet f(16);
+  f.form();
+  f.pause(3);
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(3, Status::dead); }, 10s));
+  f.run_for(20s);
+  f.dead_by.clear();
+  f.reset_figures();
+  f.resume(3);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+  EXPECT_EQ(f.figures().false_dead, 0u);
+  EXPECT_EQ(f.figures().flaps, 0u);
+  EXPECT_GE(f.member(3).counters().pauses, 1u);
+}
+
+TEST(Membership, HalfPausedTogetherAndWokenKeepsEverybody) {
+  Fleet f(16);
+  f.form();
+  for (std::size_t n = 0; n < 8; ++n) f.pause(n);
+  f.run_for(15s);
+  for (std::size_t n = 8; n < 16; ++n) EXPECT_FALSE(f.member(n).majority());
+  for (std::size_t n = 0; n < 8; ++n) f.resume(n);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+  EXPECT_TRUE(f.dead_by.empty());
+}
+
+TEST(Membership, AStarvedOneBlamesNobody) {
+  Fleet f(16);
+  f.form();
+  f.starve(2, 4500ms);
+  f.run_for(60s);
+  for (const auto& [name, by] : f.dead_by) EXPECT_FALSE(by.contains(2)) << name;
+  for (std::size_t n = 0; n < 16; ++n)
+    if (n != 2) {
+      EXPECT_FALSE(f.dead_by.contains(f.name(n)));
+    }
+}
+
+TEST(Membership, AOneSidedCutIsAnEdgeAndNobodyDies) {
+  Fleet f(16);
+  f.form();
+  const auto rule = f.cut({"n1"}, {"n2"}, false);
+  const auto edge = [&](std::size_t at, std::size_t other) {
+    const auto i = f.member(at).roster().find(f.name(other));
+    return f.member(at).roster().at(i).link_broken;
+  };
+  EXPECT_TRUE(f.run_until([&] { return edge(1, 2) && edge(2, 1); }, 10s));
+  const auto& at2 = f.member(2).roster();
+  EXPECT_TRUE(at2.at(at2.find("n1")).link_in);  // what n1 sends does not arrive
+  const auto& at1 = f.member(1).roster();
+  EXPECT_FALSE(at1.at(at1.find("n2")).link_in);
+  f.run_for(30s);
+  EXPECT_TRUE(f.agree());
+  EXPECT_TRUE(f.dead_by.empty());
+  f.weather().remove(rule);
+  EXPECT_TRUE(f.run_until([&] { return !edge(1, 2) && !edge(2, 1); }, 30s));
+}
+
+TEST(Membership, WhoIsHeardByNobodyKnowsIt) {
+  Fleet f(16);
+  f.form();
+  const auto rule = f.cut({"n5"}, {}, false);
+  EXPECT_TRUE(f.run_until([&] { return f.member(5).hearing() == Hearing::unheard; }, 5s));
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(5, Status::dead); }, 5s));
+  f.run_for(20s);
+  EXPECT_EQ(f.dead_by.size(), 1u);
+  EXPECT_FALSE(f.member(5).majority());
+  f.weather().remove(rule);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+  EXPECT_EQ(f.member(5).hearing(), Hearing::ok);
+}
+
+TEST(Membership, WhoHearsNobodyKnowsItAndBlamesNobody) {
+  Fleet f(16);
+  f.form();
+  const auto rule = f.cut({}, {"n5"}, false);
+  EXPECT_TRUE(f.run_until([&] { return f.member(5).hearing() == Hearing::deaf; }, 5s));
+  f.run_for(20s);
+  for (const auto& [name, by] : f.dead_by) EXPECT_EQ(name, "n5");
+  f.weather().remove(rule);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+}
+
+TEST(Membership, HalvesKnowTheyAreNoMajorityAndFindTogether) {
+  Fleet f(48);
+  f.form();
+  const auto rule = f.cut(f.names(0, 24), f.names(24, 48));
+  EXPECT_TRUE(f.run_until(
+      [&] {
+        for (std::size_t n = 0; n < 48; ++n)
+          if (f.member(n).majority()) return false;
+        return true;
+      },
+      5s));
+  f.run_for(15s);
+  EXPECT_TRUE(f.dead_by.empty());
+  f.weather().remove(rule);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+}
+
+TEST(Membership, TheSmallerPartKeepsItsLastCertainView) {
+  Fleet f(15);
+  f.form();
+  const auto rule = f.cut(f.names(0, 5), f.names(5, 15));
+  f.run_for(20s);
+  for (std::size_t n = 0; n < 5; ++n) {
+    EXPECT_FALSE(f.member(n).majority());
+    EXPECT_TRUE(f.member(n).uncertain());
+    const auto& r = f.member(n).roster();
+    for (Index i = 0; i < r.places(); ++i) EXPECT_EQ(r.at(i).certain, Status::alive);
+  }
+  for (std::size_t n = 5; n < 15; ++n) {
+    EXPECT_TRUE(f.member(n).majority());
+    EXPECT_EQ(f.holds(n, 0), Status::dead);
+  }
+  f.weather().remove(rule);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 10s));
+}
+
+TEST(Membership, ThirdsRemoveNobodyAndFindTogether) {
+  Fleet f(18);
+  f.form();
+  f.cut(f.names(0, 6), f.names(6, 18));
+  f.cut(f.names(6, 12), f.names(12, 18));
+  f.run_for(30s);
+  EXPECT_TRUE(f.dead_by.empty());
+  f.weather().clear();
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+}
+
+TEST(Membership, WhoRestartsElsewhereDuringAPartitionIsFoundAgain) {
+  Fleet f(15);
+  f.form();
+  f.cut(f.names(0, 5), f.names(5, 15));
+  f.run_for(8s);
+  for (std::size_t n = 10; n < 13; ++n) {
+    f.kill(n);
+    f.move(n, 9500);
+    f.start(n);
+  }
+  f.run_for(10s);
+  f.weather().clear();
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 15s));
+  const auto& r = f.member(0).roster();
+  EXPECT_EQ(r.at(r.find("n11")).address.port, 9500);
+}
+
+TEST(Membership, AnImmediateRestartWithItsClockBackSupersedesTheOldLife) {
+  Fleet f(12);
+  f.form();
+  f.run_for(5s);
+  const auto before = f.member(4).incarnation();
+  f.kill(4);
+  f.start(4, 5);  // far below
+  EXPECT_TRUE(f.run_until([&] { return f.agree() && f.member(4).incarnation() > before; }, 5s));
+  f.run_for(10s);
+  EXPECT_TRUE(f.dead_by.empty());
+  EXPECT_FALSE(f.member(4).twin());
+  for (std::size_t n = 0; n < 12; ++n)
+    if (n != 4) {
+      const auto& r = f.member(n).roster();
+      EXPECT_EQ(r.at(r.find("n4")).life, f.identity(4).life);
+    }
+}
+
+TEST(Membership, TwoUnderOneNameBothSaySoAndTheViewStands) {
+  Fleet f(10);
+  f.form();
+  const auto twin = f.clone(4);
+  f.start(twin);
+  EXPECT_TRUE(f.run_until([&] { return f.member(4).twin() && f.member(twin).twin(); }, 10s));
+  EXPECT_EQ(*f.member(4).twin(), f.identity(twin).address);
+  EXPECT_EQ(*f.member(twin).twin(), f.identity(4).address);
+  f.run_for(5s);
+  std::size_t changes = 0;
+  f.on_change = [&](auto who, const Change& c) {
+    changes += who != 4 && who != twin && c.name == "n4" && c.kind != ChangeKind::told;
+  };
+  f.run_for(20s);
+  EXPECT_EQ(changes, 0u);
+  f.kill(twin);
+  EXPECT_TRUE(f.run_until([&] { return !f.member(4).twin(); }, 20s));
+  EXPECT_TRUE(f.run_until(
+      [&] {
+        for (std::size_t n = 0; n < 10; ++n)
+          if (n != 4 && f.holds(n, 4) != Status::alive) return false;
+        return true;
+      },
+      20s));
+}
+
+TEST(Membership, AnAddressTakenOverDoesNotKeepTheOldOwnerAlive) {
+  Fleet f(10);
+  f.form();
+  f.kill(3);
+  // n3's address answers again, under another name.
+  Datagram d;
+  d.from = {"n9", f.identity(9).address, f.identity(9).life, f.member(9).incarnation(), 5000};
+  const auto counted = f.member(9).counters().not_mine;
+  f.inject(9, {{"n0", f.identity(0).address, f.identity(0).life, f.member(0).incarnation(), 5000},
+               Ping{1, "n3", {}},
+               {},
+               0});
+  f.run_for(1s);
+  EXPECT_EQ(f.member(9).counters().not_mine, counted + 1);
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(3, Status::dead); }, 6s));
+}
+
+TEST(Membership, AReplayOfAnEarlierLifeChangesNothing) {
+  Fleet f(10);
+  f.form();
+  const Datagram old{{"n3", f.identity(3).address, f.identity(3).life, f.member(3).incarnation(), 4000},
+                     Ping{7, "n0", {}},
+                     {},
+                     0};
+  f.kill(3);
+  f.start(3);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
+  const auto life = f.identity(3).life;
+  const auto stale = f.member(0).counters().stale_life;
+  for (int k = 0; k < 20; ++k) f.inject(0, old);
+  f.run_for(5s);
+  EXPECT_EQ(f.member(0).counters().stale_life, stale + 20);
+  const auto& r = f.member(0).roster();
+  EXPECT_EQ(r.at(r.find("n3")).life, life);
+  EXPECT_TRUE(f.agree());
+}
+
+TEST(Membership, AReplayAfterTheSubjectWasForgottenRaisesNobody) {
+  Options options;
+  options.shrink_after = 5s;
+  options.forget_after = 10s;
+  Fleet f(8, 1, options);
+  f.form();
+  const Record late{
+      "n3",   f.identity(3).address, f.identity(3).life, f.member(3).incarnation(), Status::alive, 0,
+      30'000, std::nullopt};
+  const Sender speaker{"n3", f.identity(3).address, f.identity(3).life, f.member(3).incarnation(), 4000};
+  f.kill(3);
+  EXPECT_TRUE(f.run_until([&] { return f.member(0).roster().find("n3") == kNobody; }, 60s));
+  f.inject(0, {speaker, Ping{7, "n0", {}}, {}, 0});
+  f.inject(0, {{"n1", f.identity(1).address, f.identity(1).life, f.member(1).incarnation(),
+                std::uint32_t(f.elapsed().count() / 1000)},
+               Tidings{},
+               {late},
+               0});
+  f.run_for(3s);
+  EXPECT_EQ(f.member(0).roster().find("n3"), kNobody);
+  EXPECT_GE(f.member(0).counters().late, 1u);
+}
+
+TEST(Membership, ADeadOneThatComesBackAfterItWasForgottenIsNew) {
+  Options options;
+  options.shrink_after = 5s;
+  options.forget_after = 10s;
+  Fleet f(8, 1, options);
+  f.form();
+  f.kill(3);
+  EXPECT_TRUE(f.run_until([&] { return f.member(0).roster().find("n3") == kNobody; }, 60s));
+  EXPECT_EQ(f.member(0).agreed(), 7u);
+  f.start(3);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 10s));
+  EXPECT_TRUE(f.run_until([&] { return f.member(0).agreed() == 8; }, 5s));
+}
+
+TEST(Membership, AFloodOfJoinsIsTakenInBounds) {
+  Fleet f(64);
+  for (std::size_t n = 0; n < 4; ++n) f.start(n);
+  f.run_for(3s);
+  for (std::size_t n = 4; n < 64; ++n) f.start(n);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 20s));
+  for (std::size_t n = 0; n < 64; ++n) EXPECT_LT(f.member(n).pending(), 700u);
+}
+
+TEST(Membership, AllSeedsDeadNobodyElseMindsAndTheyComeBack) {
+  Fleet f(12);
+  f.form();
+  for (std::size_t n = 0; n < 3; ++n) f.kill(n);
+  f.run_for(20s);
+  for (std::size_t n = 3; n < 12; ++n) EXPECT_EQ(f.member(n).roster().alive(), 8u);
+  for (std::size_t n = 0; n < 3; ++n) f.start(n);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 10s));
+}
+
+TEST(Membership, AnOrderlyLeaveIsNoDeath) {
+  Fleet f(12);
+  f.form();
+  f.leave(5);
+  EXPECT_TRUE(f.run_until([&] { return f.member(5).has_left(); }, 2s));
+  f.kill(5);
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(5, Status::left); }, 3s));
+  EXPECT_EQ(f.member(0).agreed(), 11u);
+}
+
+TEST(Membership, ALeaveWhoseDatagramsAreLostEndsAsADeath) {
+  Fleet f(12);
+  f.form();
+  f.cut({"n5"}, {}, false);
+  f.leave(5);
+  EXPECT_TRUE(f.run_until([&] { return f.member(5).has_left(); }, 2s));
+  f.kill(5);
+  EXPECT_TRUE(f.run_until([&] { return f.all_know(5, Status::dead); }, 10s));
+}
+
+TEST(Membership, ManyLeavesAtOnceKeepTheMajority) {
+  Fleet f(20);
+  f.form();
+  for (std::size_t n = 0; n < 8; ++n) f.leave(n);
+  f.run_for(1s);
+  for (std::size_t n = 0; n < 8; ++n) f.kill(n);
+  f.run_for(10s);
+  for (std::size_t n = 8; n < 20; ++n) {
+    EXPECT_TRUE(f.member(n).majority());
+    EXPECT_EQ(f.member(n).roster().alive(), 11u);
+  }
+  EXPECT_TRUE(f.dead_by.empty());
+}
+
+TEST(Membership, DelaysLongerThanSuspicionKillNobody) {
+  Fleet f(12);
+  f.form();
+  Rule r;
+  r.delay = 3s;
+  r.shape = standin::Shape::even;
+  r.spread = 0.3;
+  const auto id = f.weather().add(r);
+  f.run_for(30s);
+  EXPECT_TRUE(f.dead_by.empty());
+  f.weather().remove(id);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 20s));
+}
+
+// Over random schedules of faults: who could always talk with most is never dead in a majority's certain view
+// for long, incarnations never fall, views meet once the faults end, everything stays within its bounds.
+TEST(Membership, RandomSchedulesKeepTheProperties) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Fleet f(14, seed);
+    f.form();
+    std::mt19937_64 random(seed);
+    std::map<std::string, Incarnation> highest;
+    std::set<std::string> faulty;  // paused or cut at some time
+    for (int step = 0; step < 12; ++step) {
+      const auto n = std::size_t(random() % 14);
+      switch (random() % 6) {
+        case 0:
+          f.pause(n);
+          faulty.insert(f.name(n));
+          break;
+        case 1:
+          for (std::size_t k = 0; k < 14; ++k) f.resume(k);
+          break;
+        case 2:
+          f.cut({f.name(n)}, {}, random() % 2 == 0);
+          faulty.insert(f.name(n));
+          break;
+        case 3:
+          f.loss(0.1);
+          break;
+        case 4:
+          f.weather().clear();
+          break;
+        case 5:
+          if (faulty.size() < 5) {
+            f.kill(n);
+            f.start(n);
+            faulty.insert(f.name(n));
+          }
+          break;
+      }
+      f.run_for(2500ms);
+      for (std::size_t k = 0; k < 14; ++k) {
+        if (!f.lives(k)) continue;
+        auto& m = f.member(k);
+        EXPECT_LT(m.pending(), 700u);
+        const auto& r = m.roster();
+        for (Index i = 0; i < r.places(); ++i) {
+          if (!r.at(i).known) continue;
+          auto& known = highest[f.name(k) + "/" + r.at(i).name];
+          EXPECT_GE(r.at(i).incarnation, known);
+          known = std::max(known, r.at(i).incarnation);
+          if (m.majority() && !m.uncertain() && !faulty.contains(f.name(k)) &&
+              !faulty.contains(r.at(i).name)) {
+            EXPECT_NE(r.at(i).certain, Status::dead) << "seed " << seed << " " << r.at(i).name;
+          }
+        }
+      }
+    }
+    f.weather().clear();
+    for (std::size_t k = 0; k < 14; ++k) f.resume(k);
+    EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 40s)) << "seed " << seed;
+    EXPECT_LE(f.figures().largest, kMostDatagram);
+  }
+}
+
+TEST(Membership, TheSameSeedPlaysTheSame) {
+  const auto play = [] {
+    Fleet f(10, 9);
+    f.form();
+    f.loss(0.2);
+    f.run_for(20s);
+    return std::pair(f.figures().datagrams, f.figures().bytes);
+  };
+  EXPECT_EQ(play(), play());
+}
+
+}  // namespace
+}  // namespace granitegap::membership
--- /dev/null
+++ b/tests/membership_views_test.cpp
@@ -0,0 +1,98 @@
+// What the rest of the program concludes from a view of the fleet.
+#include <gtest/gtest.h>
+
+#include "fleet/probers.h"
+#include "membership/views.h"
+
+namespace granitegap::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+View fleet(std::size_t peers) {
+  View v;
+  v.own_hash = name_hash("own");
+  for (std::size_t n = 0; n < peers; ++n) {
+    View::Peer p;
+    p.name = "n" + std::to_string(n);
+    p.hash = name_hash(p.name);
+    p.told.stage = Stage::serving;
+    v.peers.push_back(std::move(p));
+  }
+  v.agreed = peers + 1;
+  return v;
+}
+
+TEST(Views, BackoffIsSpreadOnlyWhileSomeAreMissing) {
+  EXPECT_EQ(spread_backoff(50ms, 1s, 0, 0.9), 50ms);
+  EXPECT_EQ(spread_backoff(0ms, 1s, 0.5, 0.9), 0ms);
+  EXPECT_EQ(spread_backoff(50ms, 1s, 0.5, 0), 50ms);
+  EXPECT_EQ(spread_backoff(50ms, 1s, 0.5, 0.5), 150ms);  // a window of 8 * 0.5 * 50 ms
+  EXPECT_EQ(spread_backoff(50ms, 80ms, 1, 1), 80ms);     // never over what the settings allow
+  EXPECT_EQ(spread_backoff(90ms, 80ms, 1, 1), 90ms);
+}
+
+TEST(Views, MissingAreThoseOfTheAgreedFleetThatAreNotAlive) {
+  auto v = fleet(9);
+  EXPECT_EQ(missing_share(v), 0);
+  v.peers[0].present = Status::suspect;
+  v.peers[1].present = Status::dead;
+  EXPECT_DOUBLE_EQ(missing_share(v), 0.2);
+}
+
+TEST(Views, OneProbesForAllAndOnlyItsOwnMoveWhenItGoes) {
+  const auto v = fleet(20);
+  std::size_t moved = 0;
+  auto less = v;
+  less.peers[7].present = Status::dead;
+  for (std::uint64_t d = 1; d <= 200; ++d) {
+    const auto before = prober_of(v, d), after = prober_of(less, d);
+    if (before == v.peers[7].hash)
+      ++moved;
+    else
+      EXPECT_EQ(before, after);
+    EXPECT_NE(after, v.peers[7].hash);
+    // Seen from another member the same one is chosen.
+    auto other = v;
+    other.own_hash = v.peers[0].hash;
+    other.peers[0].hash = v.own_hash;
+    EXPECT_EQ(prober_of(other, d), before);
+  }
+  EXPECT_GT(moved, 0u);
+  EXPECT_LT(moved, 40u);
+}
+
+TEST(Views, WithoutAMajorityEachProbesAlone) {
+  auto v = fleet(5);
+  std::uint64_t d = 1;
+  while (prober_of(v, d) == v.own_hash) ++d;
+  const auto chosen = prober_of(v, d);
+  EXPECT_TRUE(probes_itself(v, d));  // the chosen one says nothing of it
+  for (auto& p : v.peers)
+    if (p.hash == chosen) p.told.findings = {{d, true}};
+  EXPECT_FALSE(probes_itself(v, d));
+  EXPECT_FALSE(told_back(v, d));
+  for (auto& p : v.peers)
+    if (p.hash == chosen) p.told.findings = {{d, false}};
+  EXPECT_TRUE(told_back(v, d));
+  v.majority = false;
+  EXPECT_TRUE(probes_itself(v, d));
+  EXPECT_FALSE(told_back(v, d));
+}
+
+TEST(Views, AnOutageIsProbedByOneForAll) {
+  const auto alone = fleet::probe_outage(8, false, 1), together = fleet::probe_outage(8, true, 1);
+  EXPECT_LT(together.calls_a_second * 4, alone.calls_a_second);
+  EXPECT_GT(together.calls_a_second, 0);
+  EXPECT_GE(together.back_within_s, 0);
+  EXPECT_LT(together.back_within_s, 2);  // of the virtual clock
+}
+
+TEST(Views, AnotherTakesOverWhenTheProberGoes) {
+  const auto probed = fleet::probe_outage(8, true, 2, true);
+  EXPECT_GT(probed.calls_a_second, 0);
+  EXPECT_GE(probed.back_within_s, 0);
+}
+
+}  // namespace
+}  // namespace granitegap::membership
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -179,5 +179,38 @@
             "gathers[1].parts[0].name: expected a name without commas and spaces\n");
 }
 
+TEST(OperatorFile, MembershipAloneIsAFile) {
+  const auto result = operators::read(parsed(R"(version: 1
+dependencies: []
+gathers: []
+membership: {cluster: "budapest", bind: "127.0.0.1:9101", seeds: ["127.0.0.1:9102"], zone: "vac", period: 200ms}
+)"));
+  ASSERT_TRUE(std::holds_alternative<operators::Declared>(result));
+  const auto& m = std::get<operators::Declared>(result).membership;
+  ASSERT_TRUE(m);
+  EXPECT_EQ(m->advertise, m->bind);
+  EXPECT_EQ(m->options.seeds.size(), 1u);
+  EXPECT_EQ(m->options.seeds[0].port, 9102);
+  EXPECT_EQ(m->options.period, std::chrono::milliseconds(200));
+  EXPECT_EQ(m->options.indirect, 3u);
+}
+
+TEST(OperatorFile, MembershipErrorsNameTheirField) {
+  const auto result = operators::read(parsed(R"(version: 1
+dependencies: []
+gathers: []
+membership: {cluster: "a b", bind: "0.0.0.0:9101", seeds: ["host:1", "[::1]:2"], believe_for: 1m, forget_after: 90s}
+)"));
+  ASSERT_TRUE(std::holds_alternative<operators::Errors>(result));
+  std::string out;
+  for (const auto& e : std::get<operators::Errors>(result)) out += e.field + ": " + e.what + "\n";
+  EXPECT_EQ(out,
+            "membership.cluster: expected a name without spaces\n"
+            "membership.bind: others can't reach this address: expected advertise beside it\n"
+            "membership.seeds[0]: expected a numeric address and a port, as \"127.0.0.1:9101\"\n"
+            "membership.seeds[1]: expected the same family of addresses as bind\n"
+            "membership.believe_for: expected no more than half of forget_after\n");
+}
+
 }  // namespace
 }  // namespace granitegap::records
--- /dev/null
+++ b/tools/fleet/runner.cpp
@@ -0,0 +1,336 @@
+#include "fleet/runner.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <stdexcept>
+
+#include "membership_udp/actor.h"
+
+namespace granitegap::fleet {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using membership::Status;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kPlatform[] = R"json({"name":"@NAME","listen":"127.0.0.1:0","kernel":"127.0.0.1:@KERNEL",
+ "announce":"127.0.0.1:@LIST","seed":"@SEED","stop_ms":3200,
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+ "settings":{"classes":[
+   {"name":"tile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.2,"worth":1.0},
+   {"name":"route-profile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.0,"worth":2.0},
+   {"name":"trail-report","aim_ms":1200.0,"deadline_ms":3000.0,"effect":"dedup","late_worth":0.2,
+    "repeat_window_ms":8949.0,"worth":5.0}],
+  "orgs":[{"name":"turistaterkep","allowance_per_s":54.0,"share":1.0}],
+  "limits":{"max_retry_after_ms":1000.0,"retry_after":true},
+  "rules":{"answer_slack_ms":100.0,"cold_from":0.2,"cold_ms":18000.0,"drain_grace_ms":2000.0,
+           "fall_ms":1500.0,"overload_factor":8.0},
+  "servers":1,"tick_ms":2.0,"worth_by":"work",
+  "specifics":{"cpus":2,"upstreams":3,"run_factor":8.0,"memory_kb":49134.0,"key_kb":205.58,"halt":"pause",
+   "say":"tokens","deep_checks":true,"heeded_ms":1000.0,"downstream":"none","passes_deadline":false,
+   "tells_gone":false,"cold":false,"gauges":["core_use","on_cores","heap_share","links"]}}})json";
+
+std::string with(std::string text, const std::string& what, const std::string& is) {
+  for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += is.size())
+    text.replace(at, what.size(), is);
+  return text;
+}
+
+std::string text_of(const udp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+// A port that is free now, and belongs to this process's own loopback address so that nobody else asks for
+// it.
+udp::endpoint free_address(asio::io_context& io, std::size_t number) {
+  const auto pid = std::uint32_t(::getpid());
+  const asio::ip::address_v4 own(
+      {127, std::uint8_t(64 + pid % 128), std::uint8_t(pid / 128), std::uint8_t(1 + number % 250)});
+  udp::socket socket(io, udp::endpoint(own, 0));
+  return socket.local_endpoint();
+}
+
+void write_file(const std::filesystem::path& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("can't write " + path.string());
+}
+
+}  // namespace
+
+// The network and the kernels live on one thread of their own; what others ask of them is run there.
+template <class F>
+auto Fleet::on_io(F f) const {
+  std::promise<decltype(f())> done;
+  auto result = done.get_future();
+  asio::post(io_, [&] {
+    if constexpr (std::is_void_v<decltype(f())>) {
+      f();
+      done.set_value();
+    } else {
+      done.set_value(f());
+    }
+  });
+  return result.get();
+}
+
+Fleet::Fleet(Options options)
+    : options_(std::move(options)),
+      work_(asio::make_work_guard(io_)),
+      list_(io_, udp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      network_(std::make_unique<standin::Network>(io_, options_.seed)) {
+  auto pattern = (std::filesystem::temp_directory_path() / "granitegap_fleet_XXXXXX").string();
+  if (!::mkdtemp(pattern.data())) throw std::runtime_error("can't make a folder for the fleet");
+  folder_ = pattern;
+  for (std::size_t n = 0; n < options_.size; ++n) {
+    const auto name = "n" + std::to_string(n);
+    prepare(name, name, n);
+  }
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+Fleet::~Fleet() {
+  for (auto& [name, p] : processes_)
+    if (p.pid && !p.status) ::kill(p.pid, SIGKILL);
+  for (auto& [name, p] : processes_)
+    if (p.pid && !p.status) reap(p, true);
+  work_.reset();
+  io_.stop();
+  thread_.join();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+Fleet::Process& Fleet::at(const std::string& name) {
+  const auto it = processes_.find(name);
+  if (it == processes_.end()) throw std::runtime_error("no process " + name);
+  return it->second;
+}
+const Fleet::Process& Fleet::at(const std::string& name) const { return const_cast<Fleet*>(this)->at(name); }
+
+void Fleet::prepare(const std::string& alias, const std::string& name, std::size_t number) {
+  Process p;
+  p.name = name;
+  p.alias = alias;
+  p.bound = free_address(io_, number);
+  p.advertised = network_->add(alias, p.bound);
+  const auto cost = options_.run_cost;
+  p.kernel = std::make_unique<standin::Kernel>(io_, 2, [cost](auto&, auto&) { return cost; });
+  p.folder = folder_ / alias;
+  std::filesystem::create_directory(p.folder);
+  if (seeds_.size() < options_.seeds) seeds_.push_back(text_of(p.advertised));
+  processes_[alias] = std::move(p);
+}
+
+void Fleet::launch(Process& p) {
+  const auto number = processes_.size();
+  auto platform = with(kPlatform, "@NAME", p.name);
+  platform = with(platform, "@KERNEL", std::to_string(p.kernel->port()));
+  platform = with(platform, "@LIST", std::to_string(list_.local_endpoint().port()));
+  std::ostringstream seed;  // new with each start, as the platform's is
+  seed << std::hex << (options_.seed * 1000003 + std::hash<std::string>()(p.alias) + std::uint64_t(number));
+  platform = with(platform, "@SEED", seed.str());
+  write_file(p.folder / "config.json", platform);
+  const auto digits = p.name.find_first_of("0123456789");
+  const auto index = digits == std::string::npos ? 0 : std::stoul(p.name.substr(digits));
+  std::string seeds;
+  for (const auto& s : seeds_) seeds += "\"" + s + "\", ";
+  write_file(p.folder / "operator.cue",
+             "version: 1\n" + options_.operator_file + "membership: {\n\tcluster: \"trial\"\n\tbind: \"" +
+                 text_of(p.bound) + "\"\n\tadvertise: \"" + text_of(p.advertised) + "\"\n\tseeds: [" + seeds +
+                 "]\n\tzone: \"z" + std::to_string(index % std::max<std::size_t>(options_.zones, 1)) +
+                 "\"\n\t" + options_.membership + "\n}\n");
+  const auto config = "EDGE_CONFIG=" + (p.folder / "config.json").string();
+  const auto declared = (p.folder / "operator.cue").string();
+  const auto log = (p.folder / "log").string();
+  std::vector<std::string> words{options_.program, "serve", "--operator", declared};
+  if (options_.plain) words.push_back("--plain-membership");
+  std::vector<char*> argv;
+  for (auto& w : words) argv.push_back(w.data());
+  argv.push_back(nullptr);
+  std::vector<char*> env;
+  std::string config_text = config;
+  for (char** e = environ; *e; ++e)
+    if (std::strncmp(*e, "EDGE_", 5) != 0) env.push_back(*e);
+  env.push_back(config_text.data());
+  env.push_back(nullptr);
+  const auto parent = ::getpid();
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  p.pid = ::fork();
+  if (p.pid == 0) {  // only calls that are safe between fork and exec
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(127);
+    ::dup2(out, 2);
+    ::dup2(out, 1);
+    ::execve(argv[0], argv.data(), env.data());
+    ::_exit(127);
+  }
+  ::close(out);
+  if (p.pid < 0) throw std::runtime_error("can't start " + p.alias);
+  p.status.reset();
+  p.paused = false;
+}
+
+void Fleet::start(const std::string& name) {
+  auto& p = at(name);
+  if (p.pid && !p.status) throw std::runtime_error(name + " runs already");
+  launch(p);
+}
+
+void Fleet::start_all() {
+  for (auto& [name, p] : processes_)
+    if (!p.pid || p.status) launch(p);
+}
+
+bool Fleet::reap(Process& p, bool wait) {
+  if (!p.pid || p.status) return true;
+  int status = 0;
+  const auto got = ::waitpid(p.pid, &status, wait ? 0 : WNOHANG);
+  if (got != p.pid) return false;
+  p.status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return true;
+}
+
+void Fleet::kill(const std::string& name) {
+  auto& p = at(name);
+  if (!p.pid || p.status) return;
+  ::kill(p.pid, SIGKILL);
+  reap(p, true);
+}
+void Fleet::end(const std::string& name) {
+  if (auto& p = at(name); p.pid && !p.status) ::kill(p.pid, SIGTERM);
+}
+bool Fleet::ended(const std::string& name) { return reap(at(name), false); }
+std::optional<int> Fleet::status(const std::string& name) const { return at(name).status; }
+void Fleet::pause(const std::string& name) {
+  auto& p = at(name);
+  ::kill(p.pid, SIGSTOP);
+  int status = 0;
+  ::waitpid(p.pid, &status, WUNTRACED);  // until it has stopped
+  p.paused = true;
+}
+void Fleet::resume(const std::string& name) {
+  auto& p = at(name);
+  ::kill(p.pid, SIGCONT);
+  p.paused = false;
+}
+
+std::string Fleet::start_twin(const std::string& name) {
+  const auto alias = name + "'";
+  on_io([&] { prepare(alias, name, processes_.size()); });
+  launch(at(alias));
+  return alias;
+}
+
+Fleet::Cut Fleet::rule(standin::Rule rule) {
+  return on_io([&] { return network_->weather().add(std::move(rule)); });
+}
+Fleet::Cut Fleet::cut(Names from, Names to, bool both) {
+  standin::Rule r;
+  r.from = std::move(from);
+  r.to = std::move(to);
+  r.both = both;
+  r.cut = true;
+  return rule(std::move(r));
+}
+void Fleet::mend(Cut cut) {
+  on_io([&] { network_->weather().remove(cut); });
+}
+void Fleet::mend_all() {
+  on_io([&] { network_->weather().clear(); });
+}
+void Fleet::inject(const std::string& from, const std::string& to, std::string bytes) {
+  on_io([&] { network_->inject(from, to, std::move(bytes)); });
+}
+standin::Weather::Seen Fleet::seen() const {
+  return on_io([&] { return network_->weather().seen(); });
+}
+
+std::optional<membership_udp::Reply> Fleet::view(const std::string& name,
+                                                 std::chrono::milliseconds within) const {
+  const auto& p = at(name);
+  if (!p.pid || p.status || p.paused) return std::nullopt;
+  return membership_udp::ask(membership_udp::address_of(p.bound), within);
+}
+
+std::optional<Status> Fleet::holds(const std::string& who, const std::string& of) const {
+  const auto v = view(who);
+  if (!v) return std::nullopt;
+  for (const auto& l : v->lines)
+    if (l.name == of) return l.status;
+  return std::nullopt;
+}
+
+Fleet::Names Fleet::names() const {
+  Names all;
+  for (const auto& [name, p] : processes_) all.insert(name);
+  return all;
+}
+Fleet::Names Fleet::running() const {
+  Names all;
+  for (const auto& [name, p] : processes_)
+    if (p.pid && !p.status && !p.paused) all.insert(name);
+  return all;
+}
+
+bool Fleet::agree() const {
+  Names living;  // a paused one lives too
+  for (const auto& [name, p] : processes_)
+    if (p.pid && !p.status) living.insert(p.name);
+  for (const auto& name : running()) {
+    const auto v = view(name);
+    if (!v) return false;
+    Names alive;
+    for (const auto& l : v->lines)
+      if (l.status == Status::alive) alive.insert(l.name);
+    if (alive != living) return false;
+  }
+  return true;
+}
+
+bool Fleet::all_hold(const std::string& of, Status status) const {
+  for (const auto& name : running())
+    if (at(name).name != of && holds(name, of) != status) return false;
+  return true;
+}
+
+bool Fleet::until(const std::function<bool()>& holds, std::chrono::milliseconds most) const {
+  const auto end = Clock::now() + most;
+  for (;;) {
+    if (holds()) return true;
+    if (Clock::now() >= end) return false;
+    std::this_thread::sleep_for(20ms);  // between two looks at a condition
+  }
+}
+
+std::string Fleet::log(const std::string& name) const {
+  std::ifstream in(at(name).folder / "log", std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+int Fleet::pid(const std::string& name) const { return at(name).pid; }
+membership::Address Fleet::bound(const std::string& name) const {
+  return membership_udp::address_of(at(name).bound);
+}
+membership::Address Fleet::advertised(const std::string& name) const {
+  return membership_udp::address_of(at(name).advertised);
+}
+
+std::uint16_t Fleet::port(const std::string& name) const {
+  const auto text = log(name);
+  const std::string mark = "listening on 127.0.0.1:";
+  const auto found = text.rfind(mark);
+  return found == std::string::npos ? 0 : std::uint16_t(std::stoul(text.substr(found + mark.size())));
+}
+
+}  // namespace granitegap::fleet
--- /dev/null
+++ b/tools/fleet/runner.h
@@ -0,0 +1,117 @@
+// A fleet of real granitegap processes on loopback, each with a stand-in kernel, behind a stand-in network.
+//
+//   Fleet fleet(options);
+//   fleet.start_all();
+//   fleet.until([&] { return fleet.agree(); }, 20s);
+//   fleet.pause("n3");  fleet.cut({"n1"}, {"n2"});  fleet.kill("n4");
+//
+// Waits are for conditions on what the processes say of themselves, asked as `granitegap members` asks. No
+// process outlives the fleet, whatever ends it: each is told by the system of its parent's death, and the
+// destructor kills what is left. Errors: std::runtime_error with what could not be done.
+#pragma once
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "membership_udp/ask.h"
+#include "standin/kernel.h"
+#include "standin/network.h"
+
+namespace granitegap::fleet {
+
+struct Options {
+  std::string program;  // path of granitegap
+  std::size_t size = 3;
+  std::size_t zones = 3, seeds = 3;
+  std::uint64_t seed = 1;
+  std::string membership;  // further fields of the record, such as "period: 200ms"
+  std::string operator_file = "dependencies: []\ngathers: []\n";  // the rest of it
+  bool plain = false;  // membership's plain policy, to measure against
+  Duration run_cost = std::chrono::milliseconds(20);
+};
+
+class Fleet {
+ public:
+  using Names = std::set<std::string>;
+  using Clock = std::chrono::steady_clock;
+  explicit Fleet(Options options);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  void start_all();
+  void start(const std::string& name);
+  void kill(const std::string& name);  // SIGKILL, and reaped
+  void end(const std::string& name);   // SIGTERM; ended() tells
+  bool ended(const std::string& name);
+  std::optional<int> status(const std::string& name) const;  // of one that ended: its exit status, or -signal
+  void pause(const std::string& name);
+  void resume(const std::string& name);
+  // One more process under a name that is taken; its own name here is the other's with "'".
+  std::string start_twin(const std::string& name);
+
+  using Cut = standin::Weather::RuleId;
+  Cut cut(Names from, Names to, bool both = false);
+  Cut rule(standin::Rule rule);
+  void mend(Cut cut);
+  void mend_all();
+  void inject(const std::string& from, const std::string& to, std::string bytes);
+
+  // What a process holds of the fleet; absent where it does not answer.
+  std::optional<membership_udp::Reply> view(const std::string& name,
+                                            std::chrono::milliseconds within = std::chrono::seconds(2)) const;
+  std::optional<membership::Status> holds(const std::string& who, const std::string& of) const;
+  // Every process that runs holds exactly those that run alive.
+  bool agree() const;
+  bool all_hold(const std::string& of, membership::Status status) const;
+  // Asked again and again until it holds; false where it did not in time.
+  bool until(const std::function<bool()>& holds, std::chrono::milliseconds most) const;
+
+  Names names() const;
+  Names running() const;  // neither ended nor paused
+  std::string log(const std::string& name) const;
+  int pid(const std::string& name) const;
+  membership::Address bound(const std::string& name) const;
+  membership::Address advertised(const std::string& name) const;
+  std::uint16_t port(const std::string& name) const;  // where it serves; 0 before it has said so
+  standin::Weather::Seen seen() const;
+
+ private:
+  struct Process {
+    std::string name, alias;  // its name in the fleet
+    int pid = 0;
+    bool paused = false;
+    std::optional<int> status;
+    boost::asio::ip::udp::endpoint bound, advertised;
+    std::unique_ptr<standin::Kernel> kernel;
+    std::filesystem::path folder;
+  };
+  Process& at(const std::string& name);
+  const Process& at(const std::string& name) const;
+  void prepare(const std::string& alias, const std::string& name, std::size_t number);
+  void launch(Process& process);
+  bool reap(Process& process, bool wait);
+  template <class F>
+  auto on_io(F f) const;
+
+  Options options_;
+  std::filesystem::path folder_;
+  mutable boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  boost::asio::ip::udp::socket list_;  // where reports to the list go; nobody reads them
+  std::unique_ptr<standin::Network> network_;
+  std::map<std::string, Process> processes_;
+  std::vector<std::string> seeds_;
+  std::thread thread_;
+};
+
+}  // namespace granitegap::fleet
