--- /dev/null
+++ b/bench/scenarios/membership_calm.cue
@@ -0,0 +1,2 @@
+name: "no fault"
+seconds: 30s
--- /dev/null
+++ b/bench/scenarios/membership_kill_one.cue
@@ -0,0 +1,3 @@
+name: "one killed"
+seconds: 15s
+deed: "kill"
