--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -182,6 +182,7 @@
       f.mend(cut);
       mend = Clock::now();
     }
+    std::this_thread::sleep_for(100ms);  // the asking itself must not be what is measured
     const auto views = watch.look();
     const auto at = Clock::now();
     bool all_dead = done && !views.empty(), one_view = views.size() == f.running().size();
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -51,14 +51,12 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-// A port that is free now, and belongs to this process's own loopback address so that nobody else asks for
-// it.
-udp::endpoint free_address(asio::io_context& io, std::size_t number) {
+// A socket on a port that is free, on this process's own loopback address so that nobody else asks for it.
+udp::socket hold_address(asio::io_context& io, std::size_t number) {
   const auto pid = std::uint32_t(::getpid());
   const asio::ip::address_v4 own(
       {127, std::uint8_t(64 + pid % 128), std::uint8_t(pid / 128), std::uint8_t(1 + number % 250)});
-  udp::socket socket(io, udp::endpoint(own, 0));
-  return socket.local_endpoint();
+  return udp::socket(io, udp::endpoint(own, 0));
 }
 
 void write_file(const std::filesystem::path& path, const std::string& text) {
@@ -123,8 +121,11 @@
   Process p;
   p.name = name;
   p.alias = alias;
-  p.bound = free_address(io_, number);
+  // Held until the network has its own port: guards against both getting the same.
+  auto held = hold_address(io_, number);
+  p.bound = held.local_endpoint();
   p.advertised = network_->add(alias, p.bound);
+  held.close();
   const auto cost = options_.run_cost;
   p.kernel = std::make_unique<standin::Kernel>(io_, 2, [cost](auto&, auto&) { return cost; });
   p.folder = folder_ / alias;
