SIGHUP's fresh times reach all parts of a member; dead state and a second drain loop are gone

Cause, found by reading the change again: Roster, OwnHealth and MassGuard each held a copy of the options, so that Member::change reached only what Member itself looks at. Lists of uncounted members, suspects and checked links could take the same entry again at each flap, without a bound while there is no majority.

Change: the parts look at the member's own options; the lists take each entry once. One loop drains the socket where two stood; addresses are converted in one place for the actor and the operator's file; rendezvous scores come from xxHash instead of a finalizer of our own; state that nothing read, and parameters that nothing used, are gone.

--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -591,9 +591,8 @@
   std::vector<membership::Finding> found;
   if (!fleet_) return found;
   for (const auto& d : deps_) {
-    const auto recent = [&](TimePoint t) { return t != TimePoint{} && now - t < 4 * d.spec.probe_most; };
-    if (recent(d.probed_at) && found.size() < membership::kMostFindings)
-      found.push_back({d.fleet_key, d.outage.out()});
+    const bool recent = d.probed_at != TimePoint{} && now - d.probed_at < 4 * d.spec.probe_most;
+    if (recent && found.size() < membership::kMostFindings) found.push_back({d.fleet_key, d.outage.out()});
   }
   return found;
 }
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -186,9 +186,8 @@
 void Edge::on(const Booted& booted) {
   if (module_) return;
   settings_.settings.cold = booted.cold;
-  const auto born = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
-  born_ = born;
-  module_.emplace(settings_.settings, seed_, born);
+  born_ = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
+  module_.emplace(settings_.settings, seed_, born_);
   for (const auto& action : module_->start()) std::visit([&](const auto& a) { apply(a); }, action);
   report_health();
 }
@@ -407,8 +406,7 @@
 
 void Edge::on(const FleetNews& news) {
   if (!news.view) return;
-  if (!fleet_) fleet_ = std::make_unique<Fleet>(Fleet{news.view, 0, std::mt19937_64(seed_)});
-  fleet_->view = news.view;
+  if (!fleet_) fleet_ = std::make_unique<Fleet>(Fleet{0, std::mt19937_64(seed_)});
   // Without a majority the missing may be this one: its advice stays as it is.
   fleet_->missing = news.view->majority ? membership::missing_share(*news.view) : 0;
   if (gatherer_) gatherer_->fleet(news.view, now_.steady);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -146,8 +146,7 @@
   std::optional<double> hint_;
   std::optional<UnixTime> drain_from_;
   struct Fleet {
-    std::shared_ptr<const membership::View> view;
-    double missing = 0;
+    double missing = 0;  // share of the agreed fleet
     std::mt19937_64 random;
   };
   std::unique_ptr<Fleet> fleet_;  // where membership is declared
--- a/src/membership/mass_guard.cpp
+++ b/src/membership/mass_guard.cpp
@@ -11,13 +11,8 @@
 
 void MassGuard::judge(TimePoint now, Counts counts, bool cut_off, Duration patience) {
   const auto size = std::max(counts.agreed, options_.expected);
-  const bool majority = !cut_off && counts.seen * 2 > size;
-  if (majority && !majority_) majority_since_ = now;
-  majority_ = majority;
-  if (options_.plain) {
-    majority_ = true;
-    return;
-  }
+  majority_ = options_.plain || (!cut_off && counts.seen * 2 > size);
+  if (options_.plain) return;
   // One alone is never a mass; and in a fleet of two nobody can tell whose fault a silence is.
   const auto many = std::max<std::size_t>(2, std::size_t(std::ceil(options_.mass_share * double(size))));
   if (!uncertain_) {
--- a/src/membership/mass_guard.h
+++ b/src/membership/mass_guard.h
@@ -18,6 +18,7 @@
 
 class MassGuard {
  public:
+  // `options` must outlive it, and may change.
   explicit MassGuard(const Options& options) : options_(options) {}
 
   void silent(std::uint64_t member, TimePoint now);
@@ -34,15 +35,14 @@
   bool uncertain() const { return uncertain_; }
   TimePoint uncertain_since() const { return uncertain_since_; }
   bool majority() const { return majority_; }
-  TimePoint majority_since() const { return majority_since_; }
   // The moment it last became certain.
   TimePoint certain_since() const { return certain_since_; }
   bool fell_silent_lately(std::uint64_t member) const { return silent_.contains(member); }
 
  private:
-  Options options_;
+  const Options& options_;
   std::unordered_map<std::uint64_t, TimePoint> silent_;
-  TimePoint uncertain_since_{}, newest_{}, certain_since_{}, majority_since_{};
+  TimePoint uncertain_since_{}, newest_{}, certain_since_{};
   bool uncertain_ = false, majority_ = true;
 };
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -134,7 +134,7 @@
   }
   if (twin_ && now >= twin_until_) {
     twin_.reset();
-    if (std::exchange(yielding_, false)) go_beyond(incarnation_, now, true);
+    if (std::exchange(yielding_, false)) go_beyond(incarnation_, now);
     retell(now);
     say(ChangeKind::twin, self_.name, true);
   }
@@ -223,7 +223,7 @@
          !health_.listening(now) && now - guard_.certain_since() >= options_.period;
 }
 
-void Member::set_deadline(Index i, TimePoint) {
+void Member::set_deadline(Index i) {
   auto& e = roster_.at(i);
   const auto times = suspicion_times(options_, roster_.present() + 1);
   auto time = suspicion_time(times, e.accusers.confirmed(), options_.confirmations);
@@ -306,7 +306,7 @@
             : merged == Merged::restarted ? ChangeKind::restarted
                                           : ChangeKind::refuted,
             e.name, own);
-      if (!e.counted) uncounted_.push_back(i);
+      if (!e.counted) add_once(uncounted_, i);
       if (merged == Merged::joined || before == Status::dead || before == Status::left) {
         round_.insert(round_.begin() + std::ptrdiff_t(random_() % (round_.size() + 1)), i);
         // Guards against halves that have met again and know only what gossip happens to bring.
@@ -316,18 +316,18 @@
         }
       }
       if (e.status == Status::suspect) {
-        suspects_.push_back(i);
-        set_deadline(i, now);
+        add_once(suspects_, i);
+        set_deadline(i);
       }
       break;
     case Merged::suspected:
       say(ChangeKind::suspected, e.name, own);
-      suspects_.push_back(i);
-      set_deadline(i, now);
+      add_once(suspects_, i);
+      set_deadline(i);
       guard_.silent(e.hash, now);
       break;
     case Merged::confirmed:
-      set_deadline(i, now);
+      set_deadline(i);
       break;
     case Merged::died:
       say(ChangeKind::died, e.name, own);
@@ -347,7 +347,6 @@
   if (record.told && !e.link_broken)
     for (const auto& l : e.told.links)
       if (l.peer == own_hash_) {
-        if (e.link_checks == 0) checked_links_.push_back(i);
         e.link_checks = 1;
         set_link(i, true, !l.inward, now);
         break;
@@ -373,7 +372,7 @@
     }
     if (yielding_ || record.incarnation < incarnation_) return;
     told_.beyond = record.life;
-    return go_beyond(record.incarnation, now, true);
+    return go_beyond(record.incarnation, now);
   }
   if (record.status == Status::alive || leaving_) return;
   if (record.incarnation < incarnation_) {
@@ -385,15 +384,15 @@
   ++counters_.refutations;
   health_.refuted();
   refuted_at_ = now;
-  go_beyond(record.incarnation, now, true);
+  go_beyond(record.incarnation, now);
 }
 
-void Member::go_beyond(Incarnation seen, TimePoint now, bool eager) {
+// Some hear it at once; the rest by what goes round.
+void Member::go_beyond(Incarnation seen, TimePoint now) {
   incarnation_ = seen + 1;
   if (told_.generation <= seen && told_.beyond != Life{}) told_.generation = incarnation_;
   ++told_.version;
   spread_.add(own_record(true), now);
-  if (!eager) return;
   for (unsigned k = 0; k < options_.indirect; ++k)
     if (const auto i = random_present(true); i != kNobody)
       send(roster_.at(i).address, Ping{nonce(), roster_.at(i).name, {}}, now, i);
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -23,6 +23,7 @@
 // Threads: one. Ownership: all values. Errors: what can't be believed is counted (Counters) and changes
 // nothing.
 #pragma once
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <string>
@@ -79,6 +80,8 @@
 class Member {
  public:
   Member(Options options, Identity self, std::uint64_t seed, TimePoint now);
+  Member(const Member&) = delete;  // its parts look at its options
+  Member& operator=(const Member&) = delete;
 
   // A datagram that decoded well, of `bytes` on the wire.
   void receive(const Datagram& datagram, std::size_t bytes, TimePoint now);
@@ -154,28 +157,31 @@
   void judge_suspects(TimePoint now);
   void apply(const Record& record, TimePoint now, bool own = false, bool in_exchange = false);
   void about_self(const Record& record, TimePoint now);
-  void go_beyond(Incarnation seen, TimePoint now, bool eager);
+  void go_beyond(Incarnation seen, TimePoint now);
   void accuse(Index i, TimePoint now);
-  void set_deadline(Index i, TimePoint now);
+  void set_deadline(Index i);
   void withdraw_own_accusations(TimePoint now);
   void mirror_certain(Index i);
   void say(ChangeKind kind, const std::string& name, bool own = false) {
     changes_.push_back({kind, name, own});
   }
+  // Guards against a list that grows with every flap while nothing empties it, as without a majority.
+  static void add_once(std::vector<Index>& to, Index i) {
+    if (std::find(to.begin(), to.end(), i) == to.end()) to.push_back(i);
+  }
   void retell(TimePoint now);
   void note_twin(const Address& where, TimePoint now);
   bool may_remove(TimePoint now) const;
   Record own_record(bool with_told) const;
-  std::uint64_t own_hash() const { return own_hash_; }
 
   // ---- probing.cpp: probes, links, exchanges, strangers ----
-  void on(const Ping& ping, const Datagram& datagram, Index from, std::size_t bytes, TimePoint now);
+  void on(const Ping& ping, const Datagram& datagram, Index from, TimePoint now);
   void on(const Ack& ack, const Datagram& datagram, Index from, TimePoint now);
   void on(const Ask& ask, const Datagram& datagram, TimePoint now);
-  void on(const Relayed& relayed, Index from, TimePoint now);
-  void on(const Nack& nack, TimePoint now);
+  void on(const Relayed& relayed);
+  void on(const Nack& nack);
   void on(const ExchangeAsk& ask, const Datagram& datagram, TimePoint now);
-  void on(const Piece& piece, TimePoint now);
+  void on(const Piece& piece);
   void probe_more(TimePoint now);
   void begin_probe(Index target, TimePoint now);
   void probe_late(Probe& probe, TimePoint now);
--- a/src/membership/own_health.cpp
+++ b/src/membership/own_health.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace granitegap::membership {
 namespace {
@@ -26,8 +25,7 @@
   return "?";
 }
 
-OwnHealth::OwnHealth(const Options& options, TimePoint now)
-    : options_(options), heard_at_(now), hearing_since_(now), started_(now) {}
+OwnHealth::OwnHealth(const Options& options, TimePoint now) : options_(options), heard_at_(now) {}
 
 void OwnHealth::worse(unsigned by) { worse_ = std::min(worse_ + by, options_.health_most); }
 
@@ -46,19 +44,19 @@
   return late;
 }
 
-void OwnHealth::probe_answered(TimePoint now) {
+void OwnHealth::probe_answered() {
   fails_ += (0 - fails_) * kFailsGain;
   in_a_row_ = 0;
   evidence_ = 0;
   if (worse_) --worse_;
-  if (hearing_ == Hearing::unheard) change(Hearing::ok, now);
+  if (hearing_ == Hearing::unheard) hearing_ = Hearing::ok;
 }
 
 // Whoever is silent itself says nothing of my own path: guards against the smaller part of a fleet that was
 // cut in two taking itself for unheard.
-void OwnHealth::probe_failed(TimePoint now, bool helpers_silent, bool target_heard) {
+void OwnHealth::probe_failed(bool helpers_silent, bool target_heard) {
   if (helpers_silent) worse(1);
-  if (in_a_row_++ == 0) failing_since_ = now - options_.period;
+  ++in_a_row_;
   if (target_heard) evidence_ -= std::log(std::clamp(fails_, 0.02, kFailsMost));
   fails_ = std::min(kFailsMost, fails_ + (1 - fails_) * kFailsGain);
 }
@@ -68,14 +66,10 @@
 }
 
 void OwnHealth::judge(TimePoint now, std::size_t others) {
-  if (options_.plain || others == 0) return change(Hearing::ok, now);
-  if (now - heard_at_ > options_.deaf_after()) return change(Hearing::deaf, now);
-  if (hearing_ == Hearing::deaf) change(Hearing::ok, now);
-  if (in_a_row_ >= kLeastInARow && evidence_ >= kEvidence) change(Hearing::unheard, now);
-}
-
-void OwnHealth::change(Hearing to, TimePoint now) {
-  if (std::exchange(hearing_, to) != to) hearing_since_ = now;
+  if (options_.plain || others == 0) return void(hearing_ = Hearing::ok);
+  if (now - heard_at_ > options_.deaf_after()) return void(hearing_ = Hearing::deaf);
+  if (hearing_ == Hearing::deaf) hearing_ = Hearing::ok;
+  if (in_a_row_ >= kLeastInARow && evidence_ >= kEvidence) hearing_ = Hearing::unheard;
 }
 
 }  // namespace granitegap::membership
--- a/src/membership/own_health.h
+++ b/src/membership/own_health.h
@@ -19,6 +19,7 @@
 
 class OwnHealth {
  public:
+  // `options` must outlive it, and may change.
   OwnHealth(const Options& options, TimePoint now);
 
   // To be called first whenever anything happens, with the wake-up that was due. The pause's length, if it
@@ -26,10 +27,10 @@
   std::optional<Duration> woke(TimePoint now, TimePoint due);
   // Something believable came from another member itself.
   void heard(TimePoint now) { heard_at_ = now; }
-  void probe_answered(TimePoint now);
+  void probe_answered();
   // `helpers_silent`: of those asked to help none has said anything, not even that it was asked.
   // `target_heard`: the one that did not answer is heard here all the same.
-  void probe_failed(TimePoint now, bool helpers_silent, bool target_heard);
+  void probe_failed(bool helpers_silent, bool target_heard);
   void refuted() { worse(1); }
   // Somebody still says what was refuted a while ago: that did not arrive.
   void refuted_in_vain();
@@ -39,20 +40,16 @@
   void judge(TimePoint now, std::size_t others);
 
   Hearing hearing() const { return hearing_; }
-  TimePoint hearing_since() const { return hearing_since_; }
   unsigned multiplier() const { return 1 + worse_; }
   bool listening(TimePoint now) const { return now < listen_until_; }
   // Anything came from others since then.
   bool heard_since(TimePoint t) const { return heard_at_ >= t; }
-  // The first of the probes in a row that failed: what was held against others since is in doubt.
-  TimePoint failing_since() const { return failing_since_; }
 
  private:
   void worse(unsigned by);
-  void change(Hearing to, TimePoint now);
-  Options options_;
+  const Options& options_;
   unsigned worse_ = 0;
-  TimePoint listen_until_{}, heard_at_{}, hearing_since_{}, failing_since_{}, started_;
+  TimePoint listen_until_{}, heard_at_{};
   double fails_ = 0.05;  // the usual share of probes that fail, smoothed over calm stretches
   double evidence_ = 0;  // against the usual loss, of the probes that failed in a row
   unsigned in_a_row_ = 0;
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -139,13 +139,13 @@
   auto& e = roster_.at(p.target);
   if (p.relayed) {
     e.reachable = true;
-    health_.probe_answered(now);
+    health_.probe_answered();
     link_relayed(p.target, p, *p.relayed, now);
     return;
   }
   e.reachable = false;
   const bool heard = e.heard >= p.sent - 2 * options_.period;
-  health_.probe_failed(now, p.asked && p.helpers_heard == 0, heard);
+  health_.probe_failed(p.asked && p.helpers_heard == 0, heard);
   judge(now);
   if (options_.plain) return accuse(p.target, now);
   if (health_.listening(now) || health_.hearing() != Hearing::ok) return;
@@ -168,8 +168,8 @@
   auto& e = roster_.at(i);
   if (e.link_broken) return;
   const bool arrives = heard_ms != kNeverHeard && heard_ms <= std::uint64_t(ms(now - p.sent));
-  if (e.link_checks == 0) checked_links_.push_back(i);
   if (e.link_checks == 0 || e.link_in != arrives) {
+    if (e.link_checks == 0) add_once(checked_links_, i);
     e.link_checks = 1;
     e.link_in = arrives;
     return;
@@ -179,9 +179,9 @@
 
 void Member::set_link(Index i, bool broken, bool inward, TimePoint now) {
   auto& e = roster_.at(i);
+  if (broken) add_once(checked_links_, i);
   e.link_broken = broken;
   e.link_in = inward;
-  e.link_since = now;
   if (!broken) e.link_checks = 0;
   say(broken ? ChangeKind::link_broken : ChangeKind::link_mended, e.name, true);
   retell(now);
@@ -269,16 +269,16 @@
     apply({from.name, from.address, from.life, from.incarnation, Status::alive, 0, 0, std::nullopt}, now);
   const bool in_exchange = std::holds_alternative<Piece>(d.body);
   for (const auto& r : d.updates) apply(r, now, false, in_exchange);
-  if (const auto* ping = std::get_if<Ping>(&d.body)) on(*ping, d, i, bytes, now);
+  if (const auto* ping = std::get_if<Ping>(&d.body)) on(*ping, d, i, now);
   if (const auto* ack = std::get_if<Ack>(&d.body)) on(*ack, d, i, now);
   if (const auto* ask = std::get_if<Ask>(&d.body)) on(*ask, d, now);
-  if (const auto* relayed = std::get_if<Relayed>(&d.body)) on(*relayed, i, now);
-  if (const auto* nack = std::get_if<Nack>(&d.body)) on(*nack, now);
+  if (const auto* relayed = std::get_if<Relayed>(&d.body)) on(*relayed);
+  if (const auto* nack = std::get_if<Nack>(&d.body)) on(*nack);
   if (const auto* ask = std::get_if<ExchangeAsk>(&d.body)) on(*ask, d, now);
-  if (const auto* piece = std::get_if<Piece>(&d.body)) on(*piece, now);
+  if (const auto* piece = std::get_if<Piece>(&d.body)) on(*piece);
 }
 
-void Member::on(const Ping& ping, const Datagram& d, Index from, std::size_t, TimePoint now) {
+void Member::on(const Ping& ping, const Datagram& d, Index from, TimePoint now) {
   // Guards against an address taken over: whoever is there now does not vouch for the one before.
   if (!ping.target.empty() && ping.target != self_.name) {
     ++counters_.not_mine;
@@ -301,7 +301,7 @@
     if (probe->stage == 1) e.round_trip.sample(now - probe->sent);  // Karn: not where it was sent twice
     e.reachable = true;
     roster_.contact(from);
-    health_.probe_answered(now);
+    health_.probe_answered();
     link_answered(from, now);
     probes_.erase(probe);
     return;
@@ -323,7 +323,7 @@
   relays_.push_back(std::move(r));
 }
 
-void Member::on(const Relayed& relayed, Index, TimePoint) {
+void Member::on(const Relayed& relayed) {
   for (auto& p : probes_)
     if (p.nonce == relayed.nonce && roster_.at(p.target).name == relayed.target) {
       if (p.helpers_heard < 255) ++p.helpers_heard;
@@ -331,7 +331,7 @@
     }
 }
 
-void Member::on(const Nack& nack, TimePoint) {
+void Member::on(const Nack& nack) {
   for (auto& p : probes_)
     if (p.nonce == nack.nonce && p.helpers_heard < 255) ++p.helpers_heard;
 }
@@ -407,7 +407,7 @@
   send_pieces(now);
 }
 
-void Member::on(const Piece& piece, TimePoint) {
+void Member::on(const Piece& piece) {
   if (piece.last) joined_ = true;
 }
 
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -32,10 +32,9 @@
   bool link_in = false;            // that direction: what it sends does not arrive
   bool link_broken = false;        // sure of it
   Told told;
-  TimePoint since{};     // of its status
-  TimePoint deadline{};  // of a suspect
-  TimePoint heard{};     // itself, without a relay
-  TimePoint link_since{};
+  TimePoint since{};                 // of its status
+  TimePoint deadline{};              // of a suspect
+  TimePoint heard{};                 // itself, without a relay
   std::int64_t clock_offset_ms = 0;  // least seen of (mine - its sent_ms)
   TimePoint timely{};                // the last datagram of it that was not late
   RoundTrip round_trip;
@@ -59,6 +58,7 @@
 
 class Roster {
  public:
+  // `options` must outlive it, and may change.
   explicit Roster(const Options& options) : options_(options) {}
 
   // `record` is about another member than this one. Times of suspicion are the caller's.
@@ -116,7 +116,7 @@
   void link(Index i);
   void unlink(Index i);
   void forget(Index i);
-  Options options_;
+  const Options& options_;
   std::deque<Entry> entries_;
   std::vector<Index> free_;
   std::unordered_map<std::uint64_t, Index> index_;
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -1,5 +1,7 @@
 #include "membership/views.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace granitegap::membership {
@@ -7,12 +9,8 @@
 
 constexpr double kWiden = 8;  // windows' growth while all are missing
 
-// A finalizer of 64 bits (MurmurHash3's): two hashes in, one even score out.
 std::uint64_t score(std::uint64_t member, std::uint64_t dependency) {
-  auto x = member ^ (dependency * 0x9e3779b97f4a7c15ull);
-  x = (x ^ (x >> 33)) * 0xff51afd7ed558ccdull;
-  x = (x ^ (x >> 33)) * 0xc4ceb9fe1a85ec53ull;
-  return x ^ (x >> 33);
+  return XXH3_64bits_withSeed(&member, sizeof member, dependency);
 }
 
 bool serves(const View::Peer& p) {
@@ -20,6 +18,18 @@
          (p.told.stage == Stage::serving || p.told.stage == Stage::warming);
 }
 
+// What the chosen prober says of it; null where that is this one, or it says nothing.
+const Finding* word_of_prober(const View& v, std::uint64_t dependency) {
+  const auto prober = prober_of(v, dependency);
+  for (const auto& p : v.peers)
+    if (p.hash == prober)
+      for (const auto& f : p.told.findings)
+        if (f.dependency == dependency) return &f;
+  return nullptr;
+}
+
+bool can_rely(const View& v) { return v.majority && !v.uncertain && v.hearing == Hearing::ok; }
+
 }  // namespace
 
 View view_of(const Member& member, TimePoint now) {
@@ -60,22 +70,6 @@
   return best;
 }
 
-namespace {
-
-// What the chosen prober says of it; null where that is this one, or it says nothing.
-const Finding* word_of_prober(const View& v, std::uint64_t dependency) {
-  const auto prober = prober_of(v, dependency);
-  for (const auto& p : v.peers)
-    if (p.hash == prober)
-      for (const auto& f : p.told.findings)
-        if (f.dependency == dependency) return &f;
-  return nullptr;
-}
-
-bool can_rely(const View& v) { return v.majority && !v.uncertain && v.hearing == Hearing::ok; }
-
-}  // namespace
-
 bool probes_itself(const View& v, std::uint64_t dependency) {
   if (!can_rely(v)) return true;
   const auto* word = word_of_prober(v, dependency);
--- a/src/membership_udp/actor.cpp
+++ b/src/membership_udp/actor.cpp
@@ -27,18 +27,7 @@
   return {asio::ip::address_v4({a.ip[0], a.ip[1], a.ip[2], a.ip[3]}), a.port};
 }
 
-Address address_of(const udp::endpoint& e) {
-  Address a;
-  a.port = e.port();
-  a.v6 = e.address().is_v6();
-  if (a.v6) {
-    a.ip = e.address().to_v6().to_bytes();
-  } else {
-    const auto four = e.address().to_v4().to_bytes();
-    std::copy(four.begin(), four.end(), a.ip.begin());
-  }
-  return a;
-}
+Address address_of(const udp::endpoint& e) { return address_of(e.address(), e.port()); }
 
 Actor::Actor(const asio::any_io_executor& executor, Settings settings, std::string name, std::uint64_t life,
              Incarnation first, std::uint64_t seed, Hooks hooks, Logger& log)
@@ -68,11 +57,7 @@
     error_code error;
     co_await socket_.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
-    for (std::size_t k = 0; k < kAtOnce; ++k) {
-      const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
-      if (error) break;  // nothing more; or an error of one datagram, which is over with it
-      take(bytes);
-    }
+    take_waiting();
     pass_on();
     co_await asio::post(asio::use_awaitable);
   }
@@ -86,12 +71,7 @@
     co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
     if (!socket_.is_open()) co_return;
     if (woken) continue;  // a datagram has moved the wake-up
-    error_code error;
-    for (std::size_t k = 0; k < kAtOnce; ++k) {
-      const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
-      if (error) break;
-      take(bytes);
-    }
+    take_waiting();
     if (hooks_.own && !leaving_) {
       auto own = hooks_.own();
       member_.tell(own.stage, own.warmth, own.pressed, std::move(own.findings), now());
@@ -101,6 +81,15 @@
   }
 }
 
+void Actor::take_waiting() {
+  for (std::size_t k = 0; k < kAtOnce; ++k) {
+    error_code error;
+    const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
+    if (error) return;  // nothing more; or an error of one datagram, which is over with it
+    take(bytes);
+  }
+}
+
 void Actor::take(std::size_t bytes) {
   const auto decoded = decode({buffer_.data(), bytes}, settings_.cluster);
   if (const auto* bad = std::get_if<Bad>(&decoded)) return count(*bad);
@@ -265,14 +254,12 @@
   r.agreed = std::uint32_t(member_.agreed());
   // By place, so that a list which changes between two questions names nobody twice.
   const auto& roster = member_.roster();
-  std::string bytes;
   auto next = query.from;
   for (; next <= roster.places(); ++next) {
     if (next > 0 && !roster.at(next - 1).known) continue;
     r.lines.push_back(line_of(next == 0 ? kNobody : next - 1));
     r.next = next + 1;
-    auto more = encode(r);
-    if (more.size() > kMostDatagram) {
+    if (encode(r).size() > kMostDatagram) {
       r.lines.pop_back();
       break;
     }
--- a/src/membership_udp/actor.h
+++ b/src/membership_udp/actor.h
@@ -52,6 +52,7 @@
   const membership::Member& member() const { return member_; }
 
  private:
+  void take_waiting();
   void take(std::size_t bytes);
   void answer(const Query& query);
   void pass_on();
--- a/src/membership_udp/codec.cpp
+++ b/src/membership_udp/codec.cpp
@@ -2,7 +2,7 @@
 
 #include <xxhash.h>
 
-#include <boost/asio/ip/address.hpp>
+#include <algorithm>
 #include <cstring>
 
 #include "membership.pb.h"
@@ -306,6 +306,19 @@
   return ip::address_v4(four).to_string() + ":" + std::to_string(a.port);
 }
 
+Address address_of(const boost::asio::ip::address& ip, std::uint16_t port) {
+  Address a;
+  a.port = port;
+  a.v6 = ip.is_v6();
+  if (a.v6) {
+    a.ip = ip.to_v6().to_bytes();
+  } else {
+    const auto four = ip.to_v4().to_bytes();
+    std::copy(four.begin(), four.end(), a.ip.begin());
+  }
+  return a;
+}
+
 const char* text_of(Bad bad) {
   switch (bad) {
     case Bad::oversized:
--- a/src/membership_udp/codec.h
+++ b/src/membership_udp/codec.h
@@ -1,5 +1,6 @@
 // Datagrams as bytes: protobuf inside an envelope with a format version and a checksum. No socket.
 #pragma once
+#include <boost/asio/ip/address.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -54,5 +55,6 @@
 
 // "127.0.0.1:9101", "[::1]:9101".
 std::string text_of(const membership::Address& address);
+membership::Address address_of(const boost::asio::ip::address& ip, std::uint16_t port);
 
 }  // namespace granitegap::membership_udp
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "deps/path_template.h"
+#include "membership_udp/codec.h"
 #include "operator_schema.h"
 
 namespace granitegap::operators {
@@ -30,22 +31,6 @@
   return deps::EndpointSpec{host, port};
 }
 
-std::optional<membership::Address> numeric_address(const std::string& text) {
-  const auto e = endpoint(text);
-  if (!e) return std::nullopt;
-  const auto ip = boost::asio::ip::make_address(e->host);
-  membership::Address a;
-  a.port = e->port;
-  a.v6 = ip.is_v6();
-  if (a.v6) {
-    a.ip = ip.to_v6().to_bytes();
-  } else {
-    const auto four = ip.to_v4().to_bytes();
-    std::copy(four.begin(), four.end(), a.ip.begin());
-  }
-  return a;
-}
-
 class Reader {
  public:
   Reader(const std::string& file, Errors& errors) : file_(file), errors_(errors) {}
@@ -185,7 +170,7 @@
       return std::all_of(s.begin(), s.end(), [](char c) { return c > ' ' && c < 127; });
     };
     const auto read = [&](const Value& from, const std::string& here) {
-      const auto a = numeric_address(from.as_text());
+      const auto a = read_address(from.as_text());
       if (!a) fail(from, here, "expected a numeric address and a port, as \"127.0.0.1:9101\"");
       return a.value_or(membership::Address{});
     };
@@ -247,7 +232,11 @@
   return document;
 }
 
-std::optional<membership::Address> read_address(const std::string& text) { return numeric_address(text); }
+std::optional<membership::Address> read_address(const std::string& text) {
+  const auto e = endpoint(text);
+  if (!e) return std::nullopt;
+  return membership_udp::address_of(boost::asio::ip::make_address(e->host), e->port);
+}
 
 std::variant<Declared, Errors> read(const records::Document& document) {
   auto checked = records::validate(document, schema(), "#Operator");
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -391,6 +391,23 @@
   EXPECT_TRUE(f.run_until([&] { return f.member(0).agreed() == 8; }, 5s));
 }
 
+// All parts of a member go by the fresh times, not only those that look at them first.
+TEST(Membership, FreshTimesAreTakenOverWhileItRuns) {
+  Fleet f(8);
+  f.form();
+  Options fresh;
+  fresh.shrink_after = 2s;
+  fresh.forget_after = 4s;
+  fresh.believe_for = 2s;
+  for (std::size_t n = 0; n < 8; ++n) {
+    fresh.seeds = {f.identity(0).address};
+    f.member(n).change(fresh);
+  }
+  f.kill(7);
+  EXPECT_TRUE(f.run_until([&] { return f.member(3).roster().find("n7") == kNobody; }, 20s));
+  EXPECT_EQ(f.member(3).agreed(), 7u);
+}
+
 TEST(Membership, AFloodOfJoinsIsTakenInBounds) {
   Fleet f(64);
   for (std::size_t n = 0; n < 4; ++n) f.start(n);
