--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -56,7 +56,6 @@
     2.5;  // times its best pace, for the crowd it has, at which a machine counts as slow
 constexpr std::size_t kPaceRuns = 30;                // runs before a best pace means something
 constexpr Duration kOffTheList = seconds(6);         // a slow machine's stay off it, before it tries again
-constexpr double kFewServers = 5;  // of so many one that leaves puts a fourth or more on each of the others
 constexpr Duration kDrainQuiet = milliseconds(300);  // before the grace ends, callers are sent away
 constexpr int kUpdateTicks = 4;                      // ticks of the host between updates
 constexpr Duration kRegimeLasts = seconds(2);        // before overload is logged as begun or over
@@ -332,10 +331,9 @@
   }
   // A machine that turns slow reads slowly too: what deaf callers send it waits unread, where nothing here
   // can refuse it in time, and only the list can keep it away. Never for waits alone: in an overload that all
-  // share, those that left would only add to the others' load. After a while it tries again, on new waits. Of
-  // few servers none can be spared: what slows them may be shared, and all would leave within a second.
+  // share, those that left would only add to the others' load. After a while it tries again, on new waits.
   void mind_the_list() {
-    if (drain_from || !s.list_follows.value_or(false) || servers <= kFewServers) return;
+    if (drain_from || !s.list_follows.value_or(false)) return;
     if (off_list_until && now < *off_list_until) return;
     const bool slow = paced_runs >= kPaceRuns && pace > kSlowed * best_pace * crowding();
     if (slow && unread_ratio > kDropRatio && !off_list_until) {
