The kernel link heeds no notice of an earlier life: one under its number made it deaf

Cause: a kernel outlives the program and may tell of an earlier life's runs on the new link, before BOOTED or under that life's numbers. The ledger took any higher number for the newest, so that the next notices of its own read as replays and their requests stood unanswered (seen: 57 before BOOTED). Lines at fault: Ledger::take in src/kernel/link.cpp. Change: after BOOTED numbers go up by one; what comes before it, or leaps ahead, counts only where it ends a run that was asked for here. Tested without sockets; the test fails without the guard (last notice 57 instead of 0).

--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -34,9 +34,19 @@
     if (const auto it = runs_.find(stop->rid); it != runs_.end()) it->second.stop = true;
 }
 
+// After BOOTED numbers go up by one. One that comes before it, or leaps ahead, is of another life, unless it
+// tells the end of what was asked for here: taken at its word it would make the next notices read as replays,
+// and their requests stand unanswered.
+bool Ledger::belongs(const Notice& notice) const {
+  if (booted_ && notice.number == last_ + 1) return true;
+  if (const auto* report = std::get_if<edge::RunReport>(&notice.what)) return runs_.contains(report->rid);
+  return false;
+}
+
 bool Ledger::take(const Notice& notice) {
+  if (std::holds_alternative<edge::Booted>(notice.what)) booted_ = true;
   if (notice.number) {
-    if (notice.number <= last_) return false;
+    if (notice.number <= last_ || !belongs(notice)) return false;
     last_ = notice.number;
   }
   if (const auto* report = std::get_if<edge::RunReport>(&notice.what)) runs_.erase(report->rid);
@@ -132,6 +142,7 @@
   socket_.set_option(tcp::no_delay(true), error);
   outgoing_.clear();
   ready_ = asked_gauges_ = false;
+  ledger_.link_opened();
   encode_open(ledger_.last_notice(), outgoing_);
   const auto ended = co_await (read() || write());
   socket_.close(error);
--- a/src/kernel/link.h
+++ b/src/kernel/link.h
@@ -24,8 +24,11 @@
 class Ledger {
  public:
   void note(const edge::Command& command);
-  // False for a notice that was read before.
+  // False for a notice that was read before, or that is not of this life: a kernel outlives the program, and
+  // may tell of an earlier life's runs, under numbers of that life.
   bool take(const Notice& notice);
+  // A new link: what comes before its BOOTED answers nothing that was asked on it.
+  void link_opened() { booted_ = false; }
   std::uint64_t last_notice() const { return last_; }
   std::vector<edge::Command> to_ask_again() const;
 
@@ -35,7 +38,9 @@
     edge::Command run;  // StartRun or ResumeRun
     bool stop = false;
   };
+  bool belongs(const Notice& notice) const;
   std::uint64_t last_ = 0, order_ = 0;
+  bool booted_ = false;
   std::map<std::string, Asked> runs_;
   std::set<std::uint64_t> checks_;
 };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -107,6 +107,25 @@
   CHECK(ledger.last_notice() == 1);
 }
 
+// A kernel outlives the program: guards against a link that takes an earlier life's number for its own, and
+// then reads its next notices as replays.
+TEST_CASE("ledger: notices of an earlier life make it neither deaf nor inventive") {
+  kernel::Ledger ledger;
+  ledger.link_opened();
+  CHECK_FALSE(ledger.take({57, edge::RunReport{"old", edge::RunEnd::ok, {}, "x"}}));
+  CHECK_FALSE(ledger.take({1, kernel::Remark{}}));  // before BOOTED: of no number that was asked for
+  CHECK(ledger.take({0, edge::Booted{}}));
+  CHECK_FALSE(ledger.take({58, edge::RunReport{"older", edge::RunEnd::ok, {}, "x"}}));
+  CHECK(ledger.last_notice() == 0);
+  ledger.note(edge::StartRun{"a", ClassId{0}, ""});
+  CHECK(ledger.take({1, kernel::Remark{}}));
+  CHECK(ledger.take({2, edge::RunReport{"a", edge::RunEnd::ok, {}, "x"}}));
+  // Notices that the kernel no longer keeps leave a gap, past which an own run's end counts.
+  ledger.note(edge::StartRun{"b", ClassId{0}, ""});
+  CHECK(ledger.take({9, edge::RunReport{"b", edge::RunEnd::ok, {}, "x"}}));
+  CHECK(ledger.last_notice() == 9);
+}
+
 TEST_CASE("kernel lines: a result may hold line ends and come in pieces") {
   const std::string bytes =
       "REAP 7 aa OK 1.5 4\r\n\r\nx\n\r\nINFO t 0.5 2\r\nBOOTED COLD 12\r\nWHAT\r\nINFO t\r\n";
