--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -70,6 +70,11 @@
 	parts:  list.MinItems(1) & list.MaxItems(32) & [...#Part]
 }
 
+#Path: {
+	bind:       strings.MinRunes(1)
+	advertise?: strings.MinRunes(1)
+}
+
 // Who else of the fleet is there: docs/membership-operators.md.
 #Membership: {
 	// Only members of one cluster hear each other.
@@ -77,6 +82,8 @@
 	// The UDP address to listen on, and the one that others are told, where that differs.
 	bind:       strings.MinRunes(1)
 	advertise?: strings.MinRunes(1)
+	// Another way to reach this process, as over other cables or by IPv6: asked by where the first one is late.
+	second?: #Path
 	// Members to begin with: numeric addresses, nothing is looked up. Its own may be among them.
 	seeds: list.MaxItems(64) & [...string]
 	// Machines that fail together share a zone.
--- a/src/deps/endpoints.h
+++ b/src/deps/endpoints.h
@@ -40,6 +40,8 @@
   const EndpointSpec& address(Index i) const { return all_[i].address; }
   bool ejected(Index i) const { return all_[i].state != State::in; }
   std::size_t count_out() const;
+  std::size_t places() const { return all_.size(); }  // those that went among them
+  bool gone(Index i) const { return all_[i].state == State::gone; }
 
  private:
   enum class State : std::uint8_t { in, ejected, half_open, gone };
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -24,8 +24,18 @@
       endpoints(s),
       limit(s.least_open, s.most_open),
       budget(s.retry_share, s.retry_burst),
-      outage(s.probe_every, s.probe_most),
-      fleet_key(membership::name_hash(s.name)) {}
+      outage(s.probe_every, s.probe_most) {}
+
+std::uint64_t Gatherer::Dependency::fleet_key(std::uint32_t endpoint) const {
+  const auto& a = endpoints.address(endpoint);
+  return membership::name_hash(spec.name + ' ' + a.host + ' ' + std::to_string(a.port));
+}
+
+void Gatherer::Dependency::note_probe(std::uint32_t endpoint, bool out, TimePoint now) {
+  const auto key = fleet_key(endpoint);
+  std::erase_if(probed, [&](const auto& p) { return p.key == key || now - p.at >= 4 * spec.probe_most; });
+  probed.push_back({key, now, out});
+}
 
 void Gatherer::Dependency::heard(Duration took, TimePoint now) {
   latency.add(took, now);
@@ -173,8 +183,7 @@
   if (guarded_) {
     if (failed_lately(part.key, now)) return ladder(slot, number, now);
     if (dep.outage.out()) {
-      if (dep.outage.may_probe(now) && (!fleet_ || membership::probes_itself(*fleet_, dep.fleet_key)))
-        probe(d, part.key, path_, now);
+      if (dep.outage.may_probe(now)) probe(d, part.key, path_, now);
       return ladder(slot, number, now);
     }
   }
@@ -305,6 +314,7 @@
   f.tries = {};
   f.tried = 0;
   f.detached = false;
+  f.only.reset();
   f.used = true;
   f.before = f.after = kNone;
   f.waiters.clear();
@@ -390,7 +400,9 @@
   const auto left = f.detached ? d.spec.timeout_most : latest_deadline(f) - now;
   // Guards against calls that can't be back in time: they would only take slots from those that can.
   const bool hopeless = !f.detached && (left.count() <= 0 || (guarded_ && left < usual.median));
-  const auto endpoint = hopeless ? std::nullopt : d.endpoints.pick(now, roll(), roll(), other);
+  const auto endpoint = hopeless ? std::nullopt
+                        : f.only ? f.only
+                                 : d.endpoints.pick(now, roll(), roll(), other);
   if (!endpoint) {
     if (f.detached) d.outage.probe_lost();
     if (!any_open(f)) give_up(slot, now);
@@ -467,6 +479,7 @@
   }
   const auto open_then = d.open;
   end_try(slot, number);
+  if (f.only) d.note_probe(*f.only, false, now);
   d.endpoints.succeeded(f.tries[number].endpoint, took, now);
   d.heard(took, now);
   if (guarded_) {
@@ -571,29 +584,56 @@
 // and its answer, should one come, is kept for the next.
 void Gatherer::probe(std::uint32_t dependency, const Key& key, const std::string& path, TimePoint now) {
   if (by_key_.find(key.low, [&](Slot f) { return flights_[f].key == key; }) != kNone) return;
+  auto& d = deps_[dependency];
+  const auto only = to_probe(d);
+  if (fleet_ && !only) return;
   const auto slot = new_flight(dependency, key);
-  flights_[slot].path = path;
-  flights_[slot].detached = true;
-  deps_[dependency].outage.probe_started();
-  deps_[dependency].probed_at = now;
+  auto& f = flights_[slot];
+  f.path = path;
+  f.detached = true;
+  f.only = only;
+  d.outage.probe_started();
   ++totals_.probes;
   start_try(slot, now);
+  if (only && f.used && f.tried > 0) d.note_probe(*only, true, now);
+}
+
+// First what another has found back, then this one's own in turns.
+std::optional<std::uint32_t> Gatherer::to_probe(Dependency& d) const {
+  if (!fleet_) return std::nullopt;
+  const auto n = std::uint32_t(d.endpoints.places());
+  std::optional<std::uint32_t> mine;
+  for (std::uint32_t k = 0; k < n; ++k) {
+    const auto i = (d.next_probed + k) % n;
+    if (d.endpoints.gone(i)) continue;
+    const auto key = d.fleet_key(i);
+    if (membership::told_back(*fleet_, key)) {
+      mine = i;
+      break;
+    }
+    if (!mine && membership::probes_itself(*fleet_, key)) mine = i;
+  }
+  if (mine) d.next_probed = *mine + 1;
+  return mine;
 }
 
 // Other members may be probing it; one of them that has found it back is taken at its word for one try.
 void Gatherer::fleet(std::shared_ptr<const membership::View> view, TimePoint now) {
   fleet_ = std::move(view);
   for (auto& d : deps_)
-    if (d.outage.out() && membership::told_back(*fleet_, d.fleet_key)) d.outage.probe_now(now);
+    for (std::uint32_t i = 0; d.outage.out() && i < d.endpoints.places(); ++i)
+      if (!d.endpoints.gone(i) && membership::told_back(*fleet_, d.fleet_key(i))) d.outage.probe_now(now);
 }
 
 std::vector<membership::Finding> Gatherer::findings(TimePoint now) const {
   std::vector<membership::Finding> found;
   if (!fleet_) return found;
-  for (const auto& d : deps_) {
-    const bool recent = d.probed_at != TimePoint{} && now - d.probed_at < 4 * d.spec.probe_most;
-    if (recent && found.size() < membership::kMostFindings) found.push_back({d.fleet_key, d.outage.out()});
-  }
+  for (const auto& d : deps_)
+    for (const auto& p : d.probed)
+      // Guards against others that wait for this one's probes of what it no longer holds for out.
+      if ((!p.out || d.outage.out()) && now - p.at < 4 * d.spec.probe_most &&
+          found.size() < membership::kMostFindings)
+        found.push_back({p.key, p.out});
   return found;
 }
 
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -123,7 +123,8 @@
   // dependencies and endpoints that stay is kept.
   void change(std::shared_ptr<const Spec> spec, TimePoint now);
 
-  // Where there is a fleet: one member probes a dependency that is out for all, and says what it finds.
+  // Where there is a fleet: one member probes each endpoint of a dependency that is out for all, and says
+  // what it finds.
   void fleet(std::shared_ptr<const membership::View> view, TimePoint now);
   std::vector<membership::Finding> findings(TimePoint now) const;
 
@@ -187,7 +188,8 @@
     std::string path;
     std::array<Try, kMostTries> tries;
     std::uint32_t tried = 0;
-    bool detached = false;  // a probe, for which nobody waits
+    bool detached = false;                // a probe, for which nobody waits
+    std::optional<std::uint32_t> only{};  // the endpoint that it is for
     bool used = false;
     Slot before = kNone, after = kNone;  // among those that wait for a slot
     std::vector<Waiter> waiters;
@@ -208,8 +210,15 @@
     std::uint32_t since_usual = 0;
     void heard(Duration took, TimePoint now);
     const Usual& usual_now(TimePoint now);
-    std::uint64_t fleet_key = 0;  // its name to other members
-    TimePoint probed_at{};
+    struct Probed {  // as other members are told
+      std::uint64_t key = 0;
+      TimePoint at{};
+      bool out = true;
+    };
+    std::vector<Probed> probed;  // by endpoint
+    std::uint32_t next_probed = 0;
+    std::uint64_t fleet_key(std::uint32_t endpoint) const;
+    void note_probe(std::uint32_t endpoint, bool out, TimePoint now);
     std::uint32_t open = 0, waiting = 0;
     Slot oldest = kNone, newest = kNone;  // of those that wait
   };
@@ -257,6 +266,8 @@
   void unqueue(Slot flight);
   void pump(std::uint32_t dependency, TimePoint now);
   void probe(std::uint32_t dependency, const Key& key, const std::string& path, TimePoint now);
+  // Which endpoint is this one's to probe; absent where others probe all of them.
+  std::optional<std::uint32_t> to_probe(Dependency& d) const;
   void note_success(Dependency& d, std::uint32_t number, TimePoint now);
   void note_failure(std::uint32_t number, TimePoint now);
   TimePoint latest_deadline(const Flight& f) const;
--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -16,7 +16,8 @@
 
 std::size_t most_bytes(const Told& t) {
   return kFrame + kSmall * 4 + 2 * kFixed64 + text(t.zone) + (t.twin ? kAddress : 0) +
-         t.links.size() * (kFrame + kFixed64 + 2) + t.findings.size() * (kFrame + kFixed64 + 2);
+         (t.second ? kAddress : 0) + t.links.size() * (kFrame + kFixed64 + 2) +
+         t.findings.size() * (kFrame + kFixed64 + 2);
 }
 
 }  // namespace
@@ -31,6 +32,7 @@
   if (const auto* ping = std::get_if<Ping>(&d.body)) sum += text(ping->target) + text(ping->asker);
   if (const auto* ask = std::get_if<Ask>(&d.body)) sum += text(ask->target) + kAddress;
   if (const auto* relayed = std::get_if<Relayed>(&d.body)) sum += text(relayed->target);
+  if (const auto* ask = std::get_if<ExchangeAsk>(&d.body)) sum += 3 + 4 * ask->sums.size();
   for (const auto& r : d.updates) sum += most_bytes(r);
   return sum + (d.filler ? 3 + d.filler : 0);
 }
--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -25,6 +25,7 @@
   std::uint32_t nonce = 0;
   std::string target;
   std::string asker;
+  bool second = false;  // it came by the second path, and is answered by that
   bool operator==(const Ping&) const = default;
 };
 // `heard_ms`: since the answering one last heard the asker itself, without a relay; unknown: the most.
@@ -32,6 +33,7 @@
 struct Ack {
   std::uint32_t nonce = 0;
   std::uint32_t heard_ms = kNeverHeard;
+  bool second = false;  // as the ping's
   bool operator==(const Ack&) const = default;
 };
 // Ask `target` for me.
@@ -53,10 +55,12 @@
   std::uint32_t nonce = 0;
   bool operator==(const Nack&) const = default;
 };
-// Give me all that you hold; mine comes as pieces as well where `push` is set.
+// Give me what you hold otherwise than I do, by `sums`, a digest under this nonce (digest.h); all of it where
+// there are none. Where `push` is set you get mine as well: the answer carries your digest.
 struct ExchangeAsk {
   std::uint32_t nonce = 0;
   bool push = false;
+  std::vector<std::uint32_t> sums;
   bool operator==(const ExchangeAsk&) const = default;
 };
 // A piece of a full exchange; its records are in the datagram's updates.
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -8,8 +8,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr unsigned kExchangeEvery = 30;  // periods, for a fleet of up to kExchangeFleet
-constexpr std::size_t kExchangeFleet = 50;
+constexpr std::size_t kExchangeEvery = 10;  // periods
+// How warm or pressed a member is: a change under this many hundredths waits, and a larger one for so long.
+constexpr int kFine = 10;
+constexpr unsigned kFineEvery = 4;                       // periods
 constexpr unsigned kTwinSilence = 10;                    // periods after which a twin is taken for gone
 constexpr std::size_t kSweepLeast = 4, kSweepMost = 16;  // members asked more a period while uncertain
 constexpr unsigned kLeaveRounds = 3;
@@ -37,6 +39,7 @@
       last_heal_(now) {
   told_.version = 1;
   told_.zone = self_.zone;
+  told_.second = self_.second;
   told_.generation = incarnation_;
   spread_.add(own_record(true), now);
 }
@@ -155,11 +158,9 @@
   });
   const bool due = now >= next_exchange_;
   if (due || (!joined_ && periods_ % 2 == 0)) {
-    const auto scale = std::max<std::size_t>(1, roster_.present() / kExchangeFleet);
     // Soon again after the first ones: guards against a newcomer that met the fleet while others were
-    // joining.
-    const auto every =
-        std::min<std::size_t>(kExchangeEvery * scale, std::size_t(2) << std::min(joins_++, 20u));
+    // joining. It costs little where views are alike, so that its rate need not fall with the fleet's size.
+    const auto every = std::min(kExchangeEvery, std::size_t(2) << std::min(joins_++, 20u));
     next_exchange_ = now + options_.period * std::int64_t(joined_ ? every : 2);
     if (const auto with = random_present(true); with != kNobody) ask_exchange(with, now);
   }
@@ -243,7 +244,9 @@
     if (!e.last_asked && !options_.plain) {
       e.last_asked = true;
       e.deadline = now + std::max(2 * late_after(e), options_.period / 4);
-      send(e.address, Ping{nonce(), e.name, {}}, now, i);
+      const auto n = nonce();
+      send(e.address, Ping{n, e.name, {}}, now, i);
+      ping_by_second(i, n, now);
       continue;
     }
     ++counters_.deaths;
@@ -410,9 +413,8 @@
                   TimePoint now) {
   if (leaving_) stage = Stage::leaving;
   if (findings.size() > kMostFindings) findings.resize(kMostFindings);
-  if (told_.stage == stage && told_.warmth == warmth && told_.pressed == pressed &&
-      told_.findings == findings)
-    return;
+  if (fine_change(stage, warmth, pressed, findings, now)) return;
+  told_at_ = now;
   told_.stage = stage;
   told_.warmth = warmth;
   told_.pressed = pressed;
@@ -421,6 +423,16 @@
   spread_.add(own_record(true), now);
 }
 
+// Guards against a fleet of hundreds that fills its datagrams with each other's last hundredth of load:
+// whoever takes requests changes that in every period.
+bool Member::fine_change(Stage stage, std::uint8_t warmth, std::uint8_t pressed,
+                         const std::vector<Finding>& findings, TimePoint now) const {
+  if (told_.stage != stage || told_.findings != findings) return false;
+  const auto apart =
+      std::max(std::abs(int(told_.warmth) - int(warmth)), std::abs(int(told_.pressed) - int(pressed)));
+  return apart == 0 || apart < kFine || now - told_at_ < options_.period * std::int64_t(kFineEvery);
+}
+
 void Member::retell(TimePoint now) {
   told_.twin = twin_.value_or(Address{});
   told_.links.clear();
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -31,6 +31,7 @@
 #include <variant>
 #include <vector>
 
+#include "membership/digest.h"
 #include "membership/mass_guard.h"
 #include "membership/own_health.h"
 #include "membership/roster.h"
@@ -41,6 +42,7 @@
 struct Identity {
   std::string name, zone;
   Address address;  // advertised
+  Address second;   // the same of a second path, where there is one
   Life life{};
   Incarnation first = 1;  // of this life; beyond it where an earlier life is heard of
 };
@@ -48,6 +50,7 @@
 struct Send {
   Address to;
   Datagram datagram;
+  bool second = false;  // by the second path
 };
 
 enum class ChangeKind : std::uint8_t {
@@ -147,6 +150,8 @@
     Index next = 0;
     std::uint16_t index = 0;
     TimePoint at;
+    Buckets wanted;           // the rest is held alike on both sides
+    std::size_t buckets = 1;  // of how many
   };
 
   // ---- member.cpp: time, self, state of others ----
@@ -173,6 +178,8 @@
   void note_twin(const Address& where, TimePoint now);
   bool may_remove(TimePoint now) const;
   Record own_record(bool with_told) const;
+  bool fine_change(Stage stage, std::uint8_t warmth, std::uint8_t pressed,
+                   const std::vector<Finding>& findings, TimePoint now) const;
 
   // ---- probing.cpp: probes, links, exchanges, strangers ----
   void on(const Ping& ping, const Datagram& datagram, Index from, TimePoint now);
@@ -199,6 +206,8 @@
   void send_leave(TimePoint now);
   void send(const Address& to, Body body, TimePoint now, Index about = kNobody, std::size_t filler_to = 0,
             std::vector<Record> first = {});
+  // By the second path as well, where both ends have one.
+  void ping_by_second(Index target, std::uint32_t nonce, TimePoint now);
   Index random_present(bool alive_only);
   std::uint32_t nonce() { return std::uint32_t(random_()) | 1; }
   Duration late_after(const Entry& e) const;
@@ -224,7 +233,7 @@
   std::vector<Index> uncounted_;      // joined; in the agreed fleet once most are seen
   std::vector<Index> round_;
   std::size_t round_at_ = 0;
-  TimePoint next_exchange_, last_heal_, refuted_at_;
+  TimePoint next_exchange_, last_heal_, refuted_at_, told_at_;
   Index last_heard_ = kNobody;
   bool joined_ = false;  // a full exchange has come in
   unsigned joins_ = 0;   // exchanges asked for since the start
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -41,6 +41,14 @@
   sends_.push_back({to, std::move(d)});
 }
 
+void Member::ping_by_second(Index target, std::uint32_t n, TimePoint now) {
+  const auto& e = roster_.at(target);
+  if (!self_.second || !e.told.second || options_.plain) return;
+  const auto before = sends_.size();
+  send(e.told.second, Ping{n, e.name, {}, true}, now, target);
+  if (sends_.size() > before) sends_.back().second = true;
+}
+
 Duration Member::late_after(const Entry& e) const {
   if (options_.plain) return options_.period / 2;
   const auto most = options_.period / 5;
@@ -112,7 +120,9 @@
   send(e.address, Ping{p.nonce, e.name, {}}, now, target);
   probes_.push_back(std::move(p));
   // Routed round at once where the straight way is known not to carry.
-  if (e.link_broken) ask_helpers(probes_.back(), now);
+  if (!e.link_broken) return;
+  ping_by_second(target, probes_.back().nonce, now);
+  ask_helpers(probes_.back(), now);
 }
 
 void Member::probe_late(Probe& p, TimePoint now) {
@@ -121,6 +131,7 @@
     p.stage = 2;
     p.late_at = now + late_after(e);
     send(e.address, Ping{p.nonce, e.name, {}}, now, p.target);
+    ping_by_second(p.target, p.nonce, now);
     return;
   }
   p.late_at = kNever;
@@ -246,7 +257,7 @@
       return;
     }
     if (const auto* ping = std::get_if<Ping>(&d.body)) {
-      if (!ping->target.empty() && ping->target != self_.name) return;
+      if (ping->second || (!ping->target.empty() && ping->target != self_.name)) return;
       std::vector<Record> about;
       if (i != kNobody) about.push_back(roster_.record_of(i, false));
       const auto sends_before = sends_.size();
@@ -264,7 +275,10 @@
   auto& e = roster_.at(i);
   health_.heard(now);
   last_heard_ = i;
-  e.heard = now;
+  // By the second path it is there, but that says nothing of the straight one.
+  const auto* by_ping = std::get_if<Ping>(&d.body);
+  const auto* by_ack = std::get_if<Ack>(&d.body);
+  if (!(by_ping && by_ping->second) && !(by_ack && by_ack->second)) e.heard = now;
   if (from.incarnation > e.incarnation)
     apply({from.name, from.address, from.life, from.incarnation, Status::alive, 0, 0, std::nullopt}, now);
   const bool in_exchange = std::holds_alternative<Piece>(d.body);
@@ -288,6 +302,14 @@
   const auto asker = ping.asker.empty() ? from : roster_.find(ping.asker);
   if (asker != kNobody && roster_.at(asker).known)
     heard_ms = std::uint32_t(std::clamp<std::int64_t>(ms(now - roster_.at(asker).heard), 0, 0xfffffff0));
+  if (ping.second) {  // only where the asker itself has told of it: nobody else is sent to
+    const auto& e = roster_.at(from);
+    if (!self_.second || !e.told.second) return;
+    const auto before = sends_.size();
+    send(e.told.second, Ack{ping.nonce, heard_ms, true}, now, from);
+    if (sends_.size() > before) sends_.back().second = true;
+    return;
+  }
   if (ping.asker.empty()) roster_.contact(from);
   send(d.from.address, Ack{ping.nonce, heard_ms}, now, from);
 }
@@ -296,6 +318,10 @@
   if (std::erase(leave_nonces_, ack.nonce)) ++leave_acks_;
   const auto probe = std::find_if(probes_.begin(), probes_.end(),
                                   [&](auto& p) { return p.nonce == ack.nonce && p.target == from; });
+  if (probe != probes_.end() && ack.second) {  // a way round, like a helper's
+    if (!probe->relayed || ack.heard_ms < *probe->relayed) probe->relayed = ack.heard_ms;
+    return;
+  }
   if (probe != probes_.end()) {
     auto& e = roster_.at(from);
     if (probe->stage == 1) e.round_trip.sample(now - probe->sent);  // Karn: not where it was sent twice
@@ -397,13 +423,23 @@
 
 void Member::ask_exchange(Index with, TimePoint now) {
   ++counters_.exchanges;
-  send(roster_.at(with).address, ExchangeAsk{nonce(), true}, now, with);
+  const auto n = nonce();
+  auto sums = digest_of(roster_, own_record(true), buckets_for(roster_.present()), n);
+  send(roster_.at(with).address, ExchangeAsk{n, true, std::move(sums)}, now, with);
 }
 
 void Member::on(const ExchangeAsk& ask, const Datagram& d, TimePoint now) {
   if (exchanges_.size() >= kMostExchanges) return;
-  exchanges_.push_back({d.from.address, ask.nonce, 0, 0, now});
-  if (ask.push) send(d.from.address, ExchangeAsk{ask.nonce, false}, now);
+  const auto buckets = ask.sums.empty() ? kLeastBuckets : ask.sums.size();
+  auto mine = digest_of(roster_, own_record(true), buckets, ask.nonce);
+  const auto wanted = differing(mine, ask.sums);
+  // Alike: one piece says so, and that is all.
+  if (wanted.none()) {
+    if (ask.push) send(d.from.address, Piece{ask.nonce, 0, true}, now);
+    return;
+  }
+  exchanges_.push_back({d.from.address, ask.nonce, 0, 0, now, wanted, buckets});
+  if (ask.push) send(d.from.address, ExchangeAsk{ask.nonce, false, std::move(mine)}, now);
   send_pieces(now);
 }
 
@@ -424,10 +460,11 @@
       records.push_back(std::move(r));
       return true;
     };
-    if (x.index == 0) take(own_record(true));
+    const auto wants = [&](std::uint64_t hash) { return x.wanted[bucket_of(hash, x.buckets)]; };
+    if (x.index == 0 && wants(own_hash_)) take(own_record(true));
     for (; x.next < roster_.places(); ++x.next) {
       const auto& e = roster_.at(x.next);
-      if (e.known && !take(roster_.record_of(x.next, true))) break;
+      if (e.known && wants(e.hash) && !take(roster_.record_of(x.next, true))) break;
     }
     const bool last = x.next >= roster_.places();
     send(x.to, Piece{x.nonce, x.index, last}, now, kNobody, 0, std::move(records));
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -43,10 +43,10 @@
   bool operator==(const LinkFault&) const = default;
 };
 
-// What whoever probes a dependency has found: told while it probes one that is out, and a while after it is
+// What whoever probes an endpoint of a dependency has found: told while that is out, and a while after it is
 // back.
 struct Finding {
-  std::uint64_t dependency = 0;  // name_hash() of its name
+  std::uint64_t endpoint = 0;  // name_hash() of the dependency's name and the address
   bool out = false;
   bool operator==(const Finding&) const = default;
 };
@@ -61,8 +61,9 @@
   std::uint8_t warmth = 0, pressed = 0;  // in 100
   std::uint64_t generation = 0;          // the incarnation with which this life began
   std::string zone;
-  Address twin;   // another live process under its name, where there is one
-  Life beyond{};  // an earlier life that this one has superseded
+  Address twin;    // another live process under its name, where there is one
+  Address second;  // where it is reached by another path, should it have one
+  Life beyond{};   // an earlier life that this one has superseded
   std::vector<LinkFault> links;
   std::vector<Finding> findings;
   bool operator==(const Told&) const = default;
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -9,8 +9,8 @@
 
 constexpr double kWiden = 8;  // windows' growth while all are missing
 
-std::uint64_t score(std::uint64_t member, std::uint64_t dependency) {
-  return XXH3_64bits_withSeed(&member, sizeof member, dependency);
+std::uint64_t score(std::uint64_t member, std::uint64_t endpoint) {
+  return XXH3_64bits_withSeed(&member, sizeof member, endpoint);
 }
 
 bool serves(const View::Peer& p) {
@@ -19,12 +19,12 @@
 }
 
 // What the chosen prober says of it; null where that is this one, or it says nothing.
-const Finding* word_of_prober(const View& v, std::uint64_t dependency) {
-  const auto prober = prober_of(v, dependency);
+const Finding* word_of_prober(const View& v, std::uint64_t endpoint) {
+  const auto prober = prober_of(v, endpoint);
   for (const auto& p : v.peers)
     if (p.hash == prober)
       for (const auto& f : p.told.findings)
-        if (f.dependency == dependency) return &f;
+        if (f.endpoint == endpoint) return &f;
   return nullptr;
 }
 
@@ -44,6 +44,7 @@
   v.majority = member.majority();
   v.uncertain = member.uncertain();
   v.hearing = member.hearing();
+  v.twin = member.twin().has_value();
   v.at = now;
   return v;
 }
@@ -60,24 +61,24 @@
   return base + Duration(std::int64_t(window * std::clamp(random, 0.0, 1.0)));
 }
 
-std::uint64_t prober_of(const View& v, std::uint64_t dependency) {
-  std::uint64_t best = v.own_hash, best_score = score(v.own_hash, dependency);
+std::uint64_t prober_of(const View& v, std::uint64_t endpoint) {
+  std::uint64_t best = v.own_hash, best_score = score(v.own_hash, endpoint);
   for (const auto& p : v.peers) {
     if (!serves(p)) continue;
-    if (const auto s = score(p.hash, dependency); s > best_score || (s == best_score && p.hash > best))
+    if (const auto s = score(p.hash, endpoint); s > best_score || (s == best_score && p.hash > best))
       best = p.hash, best_score = s;
   }
   return best;
 }
 
-bool probes_itself(const View& v, std::uint64_t dependency) {
+bool probes_itself(const View& v, std::uint64_t endpoint) {
   if (!can_rely(v)) return true;
-  const auto* word = word_of_prober(v, dependency);
+  const auto* word = word_of_prober(v, endpoint);
   return !word || !word->out;  // back for the prober: now each sees for itself
 }
 
-bool told_back(const View& v, std::uint64_t dependency) {
-  const auto* word = can_rely(v) ? word_of_prober(v, dependency) : nullptr;
+bool told_back(const View& v, std::uint64_t endpoint) {
+  const auto* word = can_rely(v) ? word_of_prober(v, endpoint) : nullptr;
   return word && !word->out;
 }
 
--- a/src/membership/views.h
+++ b/src/membership/views.h
@@ -26,6 +26,7 @@
   std::size_t agreed = 1;   // the agreed fleet, this one included
   bool majority = true, uncertain = false;
   Hearing hearing = Hearing::ok;
+  bool twin = false;  // another process lives under this one's name
   TimePoint at{};
 };
 View view_of(const Member& member, TimePoint now);
@@ -38,15 +39,16 @@
 // `most`. `random`: in [0, 1).
 Duration spread_backoff(Duration base, Duration most, double missing, double random);
 
-// Who probes a dependency for all while it is out: the highest score of rendezvous hashing (Thaler and
-// Ravishankar 1998) over this one and those that serve or warm up, alive in the certain and the present view.
-// Every member of one view names the same, and when one goes only what it probed moves.
-std::uint64_t prober_of(const View& view, std::uint64_t dependency);
+// Who probes an endpoint for all while its dependency is out: the highest score of rendezvous hashing (Thaler
+// and Ravishankar 1998) over this one and those that serve or warm up, alive in the certain and the present
+// view. Every member of one view names the same, and when one goes only what it probed moves. `endpoint`:
+// name_hash() of dependency and address.
+std::uint64_t prober_of(const View& view, std::uint64_t endpoint);
 // Whether this one is to probe it: as the chosen one; or because nobody who could be relied on does, as
 // without a majority, or where the chosen one does not say that it probes (it may see no outage, or have no
 // traffic).
-bool probes_itself(const View& view, std::uint64_t dependency);
+bool probes_itself(const View& view, std::uint64_t endpoint);
 // The chosen one, not this one, has found it back.
-bool told_back(const View& view, std::uint64_t dependency);
+bool told_back(const View& view, std::uint64_t endpoint);
 
 }  // namespace granitegap::membership
--- a/src/membership_udp/actor.cpp
+++ b/src/membership_udp/actor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/v6_only.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,29 +36,41 @@
       hooks_(std::move(hooks)),
       log_(log),
       member_(settings_.options,
-              Identity{std::move(name), settings_.zone, settings_.advertise, Life(life), first}, seed,
-              hooks_.clock()),
+              Identity{std::move(name), settings_.zone, settings_.advertise, settings_.second_advertise,
+                       Life(life), first},
+              seed, hooks_.clock()),
       socket_(executor),
+      second_(executor),
       timer_(executor) {
-  const auto bind = endpoint_of(settings_.bind);
-  socket_.open(bind.protocol());
-  socket_.bind(bind);
-  socket_.non_blocking(true);
-  error_code ignored;  // a smaller buffer only loses more
-  socket_.set_option(asio::socket_base::receive_buffer_size(kSocketBuffer), ignored);
-  socket_.set_option(asio::socket_base::send_buffer_size(kSocketBuffer), ignored);
+  open(socket_, settings_.bind);
+  if (settings_.second_bind) open(second_, settings_.second_bind);
   log_.line("membership: cluster " + settings_.cluster + ", bound to " + text_of(settings_.bind) +
                 ", reached at " + text_of(settings_.advertise),
             {{"event", "membership"}, {"cluster", settings_.cluster}});
+  if (has_second())
+    log_.line("membership: a second path, bound to " + text_of(settings_.second_bind) + ", reached at " +
+                  text_of(settings_.second_advertise),
+              {{"event", "membership_second"}});
+}
+
+void Actor::open(udp::socket& socket, const Address& at) {
+  const auto bind = endpoint_of(at);
+  socket.open(bind.protocol());
+  if (at.v6) socket.set_option(asio::ip::v6_only(true));
+  socket.bind(bind);
+  socket.non_blocking(true);
+  error_code ignored;  // a smaller buffer only loses more
+  socket.set_option(asio::socket_base::receive_buffer_size(kSocketBuffer), ignored);
+  socket.set_option(asio::socket_base::send_buffer_size(kSocketBuffer), ignored);
 }
 
 // What waits is taken in before anything is judged by the clock: after a pause it first hears.
-asio::awaitable<void> Actor::receive() {
+asio::awaitable<void> Actor::receive(udp::socket& socket) {
   for (;;) {
     error_code error;
-    co_await socket_.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    co_await socket.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
-    take_waiting();
+    take_waiting(socket);
     pass_on();
     co_await asio::post(asio::use_awaitable);
   }
@@ -71,7 +84,8 @@
     co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
     if (!socket_.is_open()) co_return;
     if (woken) continue;  // a datagram has moved the wake-up
-    take_waiting();
+    take_waiting(socket_);
+    if (has_second()) take_waiting(second_);
     if (hooks_.own && !leaving_) {
       auto own = hooks_.own();
       member_.tell(own.stage, own.warmth, own.pressed, std::move(own.findings), now());
@@ -81,19 +95,19 @@
   }
 }
 
-void Actor::take_waiting() {
+void Actor::take_waiting(udp::socket& socket) {
   for (std::size_t k = 0; k < kAtOnce; ++k) {
     error_code error;
-    const auto bytes = socket_.receive_from(asio::buffer(buffer_), from_, 0, error);
+    const auto bytes = socket.receive_from(asio::buffer(buffer_), from_, 0, error);
     if (error) return;  // nothing more; or an error of one datagram, which is over with it
-    take(bytes);
+    take(bytes, socket);
   }
 }
 
-void Actor::take(std::size_t bytes) {
+void Actor::take(std::size_t bytes, udp::socket& from) {
   const auto decoded = decode({buffer_.data(), bytes}, settings_.cluster);
   if (const auto* bad = std::get_if<Bad>(&decoded)) return count(*bad);
-  if (const auto* query = std::get_if<Query>(&decoded)) return answer(*query);
+  if (const auto* query = std::get_if<Query>(&decoded)) return answer(*query, from);
   if (const auto* datagram = std::get_if<Datagram>(&decoded)) member_.receive(*datagram, bytes, now());
 }
 
@@ -108,7 +122,8 @@
 }
 
 void Actor::pass_on() {
-  for (const auto& s : member_.take_sends()) send(endpoint_of(s.to), encode(s.datagram, settings_.cluster));
+  for (const auto& s : member_.take_sends())
+    send(s.second ? second_ : socket_, endpoint_of(s.to), encode(s.datagram, settings_.cluster));
   const auto changes = member_.take_changes();
   for (const auto& change : changes) told(change);
   if (!changes.empty() || std::exchange(changed_, false))
@@ -117,9 +132,9 @@
 }
 
 // Never waits: a full buffer loses it, as the network might.
-void Actor::send(const udp::endpoint& to, const std::string& bytes) {
+void Actor::send(udp::socket& by, const udp::endpoint& to, const std::string& bytes) {
   error_code error;
-  socket_.send_to(asio::buffer(bytes), to, 0, error);
+  by.send_to(asio::buffer(bytes), to, 0, error);
   if (error) ++unsent_;
 }
 
@@ -131,6 +146,8 @@
   note(fresh.cluster == settings_.cluster, "cluster");
   note(fresh.bind == settings_.bind, "bind");
   note(fresh.advertise == settings_.advertise, "advertise");
+  note(fresh.second_bind == settings_.second_bind && fresh.second_advertise == settings_.second_advertise,
+       "second");
   note(fresh.zone == settings_.zone, "zone");
   settings_.options = std::move(fresh.options);
   member_.change(settings_.options);
@@ -240,7 +257,7 @@
   return l;
 }
 
-void Actor::answer(const Query& query) {
+void Actor::answer(const Query& query, udp::socket& by) {
   if (!may_ask(from_)) return;
   Reply r;
   r.nonce = query.nonce;
@@ -266,7 +283,7 @@
   }
   r.next = next;
   r.last = next > roster.places();
-  send(from_, encode(r));
+  send(by, from_, encode(r));
 }
 
 }  // namespace granitegap::membership_udp
--- a/src/membership_udp/actor.h
+++ b/src/membership_udp/actor.h
@@ -41,7 +41,10 @@
   // Throws boost::system::system_error where the address can't be bound.
   Actor(const boost::asio::any_io_executor& executor, Settings settings, std::string name, std::uint64_t life,
         membership::Incarnation first, std::uint64_t seed, Hooks hooks, Logger& log);
-  boost::asio::awaitable<void> receive();
+  // One for each of its sockets.
+  boost::asio::awaitable<void> receive() { return receive(socket_); }
+  boost::asio::awaitable<void> receive_second() { return receive(second_); }
+  bool has_second() const { return second_.is_open(); }
   boost::asio::awaitable<void> run();
   // Fresh seeds and times; what waits for a restart is named in a line.
   void change(Settings settings);
@@ -52,11 +55,14 @@
   const membership::Member& member() const { return member_; }
 
  private:
-  void take_waiting();
-  void take(std::size_t bytes);
-  void answer(const Query& query);
+  boost::asio::awaitable<void> receive(boost::asio::ip::udp::socket& socket);
+  void open(boost::asio::ip::udp::socket& socket, const membership::Address& bind);
+  void take_waiting(boost::asio::ip::udp::socket& socket);
+  void take(std::size_t bytes, boost::asio::ip::udp::socket& from);
+  void answer(const Query& query, boost::asio::ip::udp::socket& from);
   void pass_on();
-  void send(const boost::asio::ip::udp::endpoint& to, const std::string& bytes);
+  void send(boost::asio::ip::udp::socket& by, const boost::asio::ip::udp::endpoint& to,
+            const std::string& bytes);
   bool may_ask(const boost::asio::ip::udp::endpoint& who) const;
   void told(const membership::Change& change);
   void count(Bad bad);
@@ -67,7 +73,7 @@
   Hooks hooks_;
   Logger& log_;
   membership::Member member_;
-  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::socket socket_, second_;
   boost::asio::steady_timer timer_;
   boost::asio::ip::udp::endpoint from_;
   std::array<char, 2048> buffer_{};
--- a/src/membership_udp/codec.cpp
+++ b/src/membership_udp/codec.cpp
@@ -3,9 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <bit>
 #include <cstring>
 
 #include "membership.pb.h"
+#include "membership/digest.h"
 
 namespace granitegap::membership_udp {
 namespace {
@@ -35,6 +37,7 @@
   to->set_generation(t.generation);
   to->set_zone(t.zone);
   if (t.twin) put(t.twin, to->mutable_twin());
+  if (t.second) put(t.second, to->mutable_second());
   to->set_beyond(std::uint64_t(t.beyond));
   for (const auto& l : t.links) {
     auto* link = to->add_links();
@@ -43,7 +46,7 @@
   }
   for (const auto& f : t.findings) {
     auto* finding = to->add_findings();
-    finding->set_dependency(f.dependency);
+    finding->set_endpoint(f.endpoint);
     finding->set_out(f.out);
   }
 }
@@ -63,10 +66,12 @@
     to.mutable_ping()->set_nonce(b.nonce);
     to.mutable_ping()->set_target(b.target);
     to.mutable_ping()->set_asker(b.asker);
+    to.mutable_ping()->set_second(b.second);
   }
   void operator()(const Ack& b) const {
     to.mutable_ack()->set_nonce(b.nonce);
     to.mutable_ack()->set_heard_ms(b.heard_ms);
+    to.mutable_ack()->set_second(b.second);
   }
   void operator()(const Ask& b) const {
     to.mutable_ask()->set_nonce(b.nonce);
@@ -82,6 +87,7 @@
   void operator()(const ExchangeAsk& b) const {
     to.mutable_exchange_ask()->set_nonce(b.nonce);
     to.mutable_exchange_ask()->set_push(b.push);
+    for (const auto s : b.sums) to.mutable_exchange_ask()->add_sums(s);
   }
   void operator()(const Piece& b) const {
     to.mutable_piece()->set_nonce(b.nonce);
@@ -123,9 +129,10 @@
     to.generation = t.generation();
     to.zone = t.zone();
     if (t.has_twin()) to.twin = address_of(t.twin());
+    if (t.has_second()) to.second = address_of(t.second());
     to.beyond = Life(t.beyond());
     for (const auto& l : t.links()) to.links.push_back({l.peer(), l.inward()});
-    for (const auto& f : t.findings()) to.findings.push_back({f.dependency(), f.out()});
+    for (const auto& f : t.findings()) to.findings.push_back({f.endpoint(), f.out()});
     return to;
   }
   Record record_of(const wire::Record& r) {
@@ -139,12 +146,20 @@
     if (r.has_told()) to.told = told_of(r.told());
     return to;
   }
+  ExchangeAsk ask_of(const wire::ExchangeAsk& a) {
+    const auto n = std::size_t(a.sums_size());
+    need(n == 0 || (std::has_single_bit(n) && n >= kLeastBuckets && n <= kMostBuckets));
+    ExchangeAsk to{a.nonce(), a.push(), {}};
+    if (good) to.sums.assign(a.sums().begin(), a.sums().end());
+    return to;
+  }
   Body body_of(const wire::Packet& p) {
     switch (p.body_case()) {
       case wire::Packet::kPing:
-        return Ping{p.ping().nonce(), name_of(p.ping().target(), true), name_of(p.ping().asker(), true)};
+        return Ping{p.ping().nonce(), name_of(p.ping().target(), true), name_of(p.ping().asker(), true),
+                    p.ping().second()};
       case wire::Packet::kAck:
-        return Ack{p.ack().nonce(), p.ack().heard_ms()};
+        return Ack{p.ack().nonce(), p.ack().heard_ms(), p.ack().second()};
       case wire::Packet::kAsk:
         return Ask{p.ask().nonce(), name_of(p.ask().target()), address_of(p.ask().address())};
       case wire::Packet::kRelayed:
@@ -152,7 +167,7 @@
       case wire::Packet::kNack:
         return Nack{p.nack().nonce()};
       case wire::Packet::kExchangeAsk:
-        return ExchangeAsk{p.exchange_ask().nonce(), p.exchange_ask().push()};
+        return ask_of(p.exchange_ask());
       case wire::Packet::kPiece:
         need(p.piece().index() <= 65535);
         return Piece{p.piece().nonce(), std::uint16_t(p.piece().index()), p.piece().last()};
--- a/src/membership_udp/settings.h
+++ b/src/membership_udp/settings.h
@@ -9,6 +9,7 @@
 struct Settings {
   std::string cluster, zone;
   membership::Address bind, advertise;
+  membership::Address second_bind, second_advertise;  // no port: there is none
   membership::Options options;
   bool operator==(const Settings&) const = default;
 };
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -191,6 +191,16 @@
       const auto seed = read(seeds[i], here);
       if (seed && m.bind && seed.v6 != m.bind.v6)
         fail(seeds[i], here, "expected the same family of addresses as bind");
+    if (const auto* second = v.find("second")) {
+      const auto here = path + ".second";
+      m.second_bind = read((*second)["bind"], here + ".bind");
+      const auto* told = second->find("advertise");
+      m.second_advertise = told ? read(*told, here + ".advertise") : m.second_bind;
+      if (m.second_bind && m.second_bind == m.bind)
+        fail((*second)["bind"], here + ".bind", "expected another address than membership.bind");
+      if (m.second_bind && m.second_advertise && m.second_bind.v6 != m.second_advertise.v6)
+        fail(*told, here + ".advertise", "expected the same family of addresses as bind");
+    }
       m.options.seeds.push_back(seed);
     }
     auto& o = m.options;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -112,6 +112,7 @@
                   std::to_string(extras_.declared->spec.dependencies.size()) + " dependencies, " +
                   std::to_string(extras_.declared->spec.gathers.size()) + " classes gather",
               {{"event", "declared"}, {"file", extras_.declared->file}});
+    if (fleet_->has_second()) spawn(fleet_->receive_second());
 }
 
 // An actor that ends by an exception has broken its promises: better a clear end than half a server.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -23,6 +23,7 @@
   o.program = PROGRAM;
   o.size = size;
   o.membership = "period: 200ms";
+  o.clock_library = CLOCK_LIBRARY;
   return o;
 }
 
@@ -31,7 +32,7 @@
   explicit Trial(std::size_t size) : Fleet(options(size)) {}
   void form() {
     start_all();
-    ASSERT_TRUE(until([&] { return agree() && all_count(names().size()); }, kLong)) << log("n0");
+    ASSERT_TRUE(until([&] { return agree() && all_count(names().size()); }, kLong)) << state();
   }
   // The agreed fleet has so many for everybody.
   bool all_count(std::size_t n) const {
@@ -118,6 +119,63 @@
   for (const auto& name : f.names()) EXPECT_EQ(f.times(name, "lives under this name"), 0u);
 }
 
+TEST(Fleet, ARestartWithItsClockAnHourBackSupersedesTheOldLife) {
+  Trial f(5);
+  f.form();
+  const auto before = f.view("n2")->incarnation;
+  f.kill("n2");
+  f.shift_clock("n2", -1h);
+  f.start("n2");
+  EXPECT_TRUE(
+      f.until([&] { return f.agree() && f.times("n0", "membership: n2 has restarted") == 1; }, kLong));
+  // Its clock alone would have put it an hour behind its earlier life.
+  EXPECT_GT(f.view("n2")->incarnation, before);
+  EXPECT_LT(f.view("n2")->incarnation, before + 3'600'000);
+  for (const auto& name : f.names()) EXPECT_EQ(f.times(name, "lives under this name"), 0u);
+  f.only_these_died({});
+}
+
+// The clock a day ahead, and then right again: the later life is the lower one by its own clock.
+TEST(Fleet, ARestartAfterAClockThatRanAheadSupersedesIt) {
+  Trial f(4);
+  f.shift_clock("n2", 24h);
+  f.form();
+  const auto before = f.view("n2")->incarnation;
+  f.kill("n2");
+  f.shift_clock("n2", 0ms);
+  f.start("n2");
+  EXPECT_TRUE(
+      f.until([&] { return f.agree() && f.times("n0", "membership: n2 has restarted") == 1; }, kLong));
+  EXPECT_GT(f.view("n2")->incarnation, before);
+}
+
+// Others suspect it and do not yet hold it dead: it wakes, and refutes.
+TEST(Fleet, APauseShorterThanTheTimeToSuspectIsForgiven) {
+  auto o = options(6);
+  o.membership = "period: 200ms, suspicion: 20, suspicion_most: 20";  // far longer than any pause here
+  Trial f(6, o);
+  f.form();
+  f.pause("n3");
+  EXPECT_TRUE(f.until([&] { return f.all_hold("n3", Status::suspect); }, kLong));
+  f.resume("n3");
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+  f.only_these_died({});
+}
+
+// Seeds that SIGHUP brings are called while a process runs: two fleets that never heard of each other meet.
+TEST(Fleet, SeedsFromAReloadJoinTwoFleets) {
+  auto o = options(6);
+  o.seeds = 0;
+  Trial f(6, o);
+  f.start_all();
+  EXPECT_TRUE(f.until([&] { return f.all_count(1); }, kLong));  // all are up, and alone
+  for (const auto& name : f.names()) f.redeclare(name, name < "n3" ? Fleet::Names{"n0"} : Fleet::Names{"n3"});
+  EXPECT_TRUE(f.until([&] { return f.all_count(3); }, kLong));
+  f.redeclare("n1", {"n0", "n4"});
+  EXPECT_TRUE(f.until([&] { return f.agree() && f.all_count(6); }, kLong));
+  EXPECT_EQ(f.times("n1", "reload: operator file taken over"), 2u);
+}
+
 TEST(Fleet, APauseEndsWithoutBlame) {
   Trial f(6);
   f.form();
@@ -268,6 +326,29 @@
   EXPECT_EQ(f.times("n0", "has restarted"), 0u);
 }
 
+// Every datagram of the first path is lost, for all: the second one, IPv6 on loopback, carries the fleet.
+TEST(Fleet, ASecondPathCarriesTheFleet) {
+  auto o = options(4);
+  o.second_paths = true;
+  Trial f(4, o);
+  f.form();
+  f.cut({}, {}, true);
+  const auto edges = [&] {  // each has found that its straight links fail
+    for (const auto& name : f.names())
+      if (f.times(name, "nothing arrives straight") == 0) return false;
+    return true;
+  };
+  EXPECT_TRUE(f.until(edges, kLong));
+  EXPECT_TRUE(f.agree());
+  for (const auto& name : f.names()) {
+    EXPECT_EQ(f.hearing(name), Hearing::ok) << name;
+    EXPECT_TRUE(f.view(name)->majority) << name;
+  }
+  f.mend_all();
+  EXPECT_TRUE(f.until([&] { return f.agree() && f.view("n0")->majority; }, kLong));
+  f.only_these_died({});
+}
+
 TEST(Fleet, AnOrderlyEndIsNoDeath) {
   Trial f(4);
   f.form();
--- a/tests/membership_codec_test.cpp
+++ b/tests/membership_codec_test.cpp
@@ -31,11 +31,13 @@
            random(),
            {},
            {},
+           {},
            Life(random()),
            {},
            {}};
     t.zone = upto(1) ? name(kMostZone) : "";
     if (upto(1)) t.twin = address();
+    if (upto(1)) t.second = address();
     for (auto k = upto(kMostLinkFaults); k > 0; --k) t.links.push_back({random(), upto(1) == 1});
     for (auto k = upto(kMostFindings); k > 0; --k) t.findings.push_back({random(), upto(1) == 1});
     return t;
@@ -49,17 +51,21 @@
   Body body() {
     switch (upto(8)) {
       case 0:
-        return Ping{any32(), upto(1) ? name(kMostName) : "", upto(1) ? name(kMostName) : ""};
+        return Ping{any32(), upto(1) ? name(kMostName) : "", upto(1) ? name(kMostName) : "", upto(1) == 1};
       case 1:
-        return Ack{any32(), any32()};
+        return Ack{any32(), any32(), upto(1) == 1};
       case 2:
         return Ask{any32(), name(kMostName), address()};
       case 3:
         return Relayed{any32(), name(kMostName), any32()};
       case 4:
         return Nack{any32()};
-      case 5:
-        return ExchangeAsk{any32(), upto(1) == 1};
+      case 5: {
+        ExchangeAsk ask{any32(), upto(1) == 1, {}};
+        ask.sums.resize(upto(1) ? std::size_t(8) << upto(4) : 0);
+        for (auto& s : ask.sums) s = any32();
+        return ask;
+      }
       case 6:
         return Piece{any32(), std::uint16_t(upto(65535)), upto(1) == 1};
       case 7:
--- /dev/null
+++ b/tests/membership_digest_test.cpp
@@ -0,0 +1,74 @@
+// Digests: like views have like ones, and a difference shows in its own bucket alone.
+#include <gtest/gtest.h>
+
+#include "membership/digest.h"
+
+namespace granitegap::membership {
+namespace {
+
+Record record(std::size_t n, Incarnation incarnation = 1, Status status = Status::alive) {
+  Record r;
+  r.name = "n" + std::to_string(n);
+  r.address.port = std::uint16_t(9000 + n);
+  r.life = Life(n + 1);
+  r.incarnation = incarnation;
+  r.status = status;
+  r.told = Told{};
+  r.told->version = 1;
+  return r;
+}
+
+struct Held {
+  Options options;
+  Roster roster{options};
+  explicit Held(std::size_t from, std::size_t to) {
+    for (auto n = from; n < to; ++n) take(record(n));
+  }
+  void take(const Record& r) {
+    Index i = kNobody;
+    roster.merge(r, TimePoint(std::chrono::seconds(1)), i);
+  }
+  std::vector<std::uint32_t> digest(const Record& own, std::uint32_t seed = 7) const {
+    return digest_of(roster, own, 32, seed);
+  }
+};
+
+TEST(Digest, MembersOfOneFleetAgreeThoughNoneListsItself) {
+  Held a(1, 200), b(0, 199);
+  EXPECT_TRUE(differing(a.digest(record(0)), b.digest(record(199))).none());
+  EXPECT_FALSE(differing(a.digest(record(0), 7), b.digest(record(199), 8)).none());
+}
+
+TEST(Digest, ADifferenceShowsInItsBucketAlone) {
+  for (const auto& change :
+       {record(42, 2), record(42, 1, Status::suspect), record(42, 1, Status::dead), record(500)}) {
+    Held a(0, 200), b(0, 200);
+    b.take(change);
+    const auto d = differing(a.digest(record(999)), b.digest(record(999)));
+    EXPECT_EQ(d.count(), 1u) << change.name;
+    EXPECT_TRUE(d[bucket_of(name_hash(change.name), 32)]);
+  }
+}
+
+TEST(Digest, LoadIsNoDifferenceAndAStageIs) {
+  Held a(0, 50), b(0, 50);
+  auto warmer = record(4);
+  warmer.told->version = 2;
+  warmer.told->warmth = 50;
+  b.take(warmer);
+  EXPECT_TRUE(differing(a.digest(record(99)), b.digest(record(99))).none());
+  warmer.told->version = 3;
+  warmer.told->stage = Stage::serving;
+  b.take(warmer);
+  EXPECT_EQ(differing(a.digest(record(99)), b.digest(record(99))).count(), 1u);
+}
+
+TEST(Digest, WhoKnowsNothingWantsEverything) {
+  EXPECT_TRUE(differing({1, 2, 3, 4, 5, 6, 7, 8}, {}).all());
+  EXPECT_EQ(buckets_for(0), kLeastBuckets);
+  EXPECT_EQ(buckets_for(100), 16u);
+  EXPECT_EQ(buckets_for(100000), kMostBuckets);
+}
+
+}  // namespace
+}  // namespace granitegap::membership
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -475,6 +475,74 @@
   EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 20s));
 }
 
+// Whoever has lost its first path is reached by its second one: an edge for those at both ends, and no death.
+TEST(Membership, ASecondPathKeepsWhoHasLostTheFirst) {
+  for (const bool second : {true, false}) {
+    Fleet f(10);
+    if (second) f.give_second_paths();
+    f.form();
+    const auto cut = f.cut({"n4"}, f.names(0, 4));
+    const auto more = f.cut({"n4"}, f.names(5, 10));
+    f.run_for(20s);
+    EXPECT_EQ(f.dead_by.contains("n4"), !second);
+    if (second) {
+      EXPECT_EQ(f.member(4).hearing(), Hearing::ok);
+      EXPECT_TRUE(f.all_know(4, Status::alive));
+      EXPECT_TRUE(f.member(4).roster().at(f.member(4).roster().find("n5")).link_broken);
+    }
+    f.weather().remove(cut);
+    f.weather().remove(more);
+    EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 20s));
+  }
+}
+
+// Of two nobody else can help: only the second path tells a lost link from a lost peer.
+TEST(Membership, TwoWithASecondPathStayTogether) {
+  Fleet f(2);
+  f.give_second_paths();
+  f.form();
+  f.cut({"n0"}, {"n1"});
+  f.run_for(30s);
+  EXPECT_EQ(f.holds(0, 1), Status::alive);
+  EXPECT_EQ(f.holds(1, 0), Status::alive);
+  EXPECT_TRUE(f.member(0).majority());
+  EXPECT_EQ(f.member(0).hearing(), Hearing::ok);
+}
+
+TEST(Membership, ALargeFleetFormsSoonAfterTheLastStart) {
+  Fleet f(300);
+  f.start_all(6s);
+  EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 12s));
+}
+
+// An exchange carries what differs: between like views it is two datagrams, however large the fleet.
+TEST(Membership, ExchangesOfLikeViewsAreShort) {
+  Fleet f(120);
+  f.form();
+  f.run_for(30s);
+  f.reset_figures();
+  f.run_for(30s);
+  // Full exchanges of 120 members at this rate would be over 6 KB a member and second by themselves.
+  EXPECT_LT(double(f.figures().bytes) * 2 / 30 / 120, 6000);
+  EXPECT_TRUE(f.agree());
+}
+
+// Loads that wander by a hundredth at a time are no news; a jump is.
+TEST(Membership, SmallChangesOfLoadAreNotTold) {
+  Fleet f(8);
+  f.form();
+  auto& m = f.member(3);
+  const auto version = m.told().version;
+  for (int k = 0; k < 9; ++k) m.tell(Stage::starting, 0, std::uint8_t(k), {}, f.now());
+  EXPECT_EQ(m.told().version, version);
+  m.tell(Stage::starting, 0, 40, {}, f.now());
+  EXPECT_EQ(m.told().version, version + 1);
+  m.tell(Stage::starting, 0, 80, {}, f.now());  // too soon after the last one
+  EXPECT_EQ(m.told().version, version + 1);
+  m.tell(Stage::serving, 0, 80, {}, f.now());  // a stage is told at once
+  EXPECT_EQ(m.told().version, version + 2);
+}
+
 // Over random schedules of faults: who could always talk with most is never dead in a majority's certain view
 // for long, incarnations never fall, views meet once the faults end, everything stays within its bounds.
 TEST(Membership, RandomSchedulesKeepTheProperties) {
--- a/tests/membership_views_test.cpp
+++ b/tests/membership_views_test.cpp
@@ -88,6 +88,14 @@
   EXPECT_LT(together.back_within_s, 2);  // of the virtual clock
 }
 
+// Two endpoints of one dependency: each has a prober of its own, and one that is back frees all.
+TEST(Views, EachEndpointHasItsOwnProber) {
+  const auto one = fleet::probe_outage(8, true, 3, false, 1), two = fleet::probe_outage(8, true, 3, false, 2);
+  EXPECT_GT(two.calls_a_second, one.calls_a_second);  // of both endpoints together
+  EXPECT_LT(two.calls_a_second, 3 * one.calls_a_second);
+  EXPECT_GE(two.back_within_s, 0);
+}
+
 TEST(Views, AnotherTakesOverWhenTheProberGoes) {
   const auto probed = fleet::probe_outage(8, true, 2, true);
   EXPECT_GT(probed.calls_a_second, 0);
--- a/tools/fleet/probers.h
+++ b/tools/fleet/probers.h
@@ -16,12 +16,14 @@
 
 // `together`: servers see each other's findings, a step late. `gone`: the chosen prober ends in the middle of
 // the outage.
-inline Probed probe_outage(std::size_t servers, bool together, std::uint64_t seed, bool gone = false) {
+// `endpoints`: of the dependency; only the first comes back.
+inline Probed probe_outage(std::size_t servers, bool together, std::uint64_t seed, bool gone = false,
+                           std::uint16_t endpoints = 1) {
   using namespace std::chrono_literals;
   deps::Spec spec;
   deps::DependencySpec d;
   d.name = "elevation.example.org";
-  d.endpoints = {{"127.0.0.1", 9001}};
+  for (std::uint16_t e = 0; e < endpoints; ++e) d.endpoints.push_back({"127.0.0.1", std::uint16_t(9001 + e)});
   spec.dependencies.push_back(d);
   deps::GatherSpec g;
   deps::PartSpec part;
@@ -79,7 +81,7 @@
             p.told.stage = membership::Stage::serving;
             v.peers.push_back(p);
           }
-          return membership::prober_of(v, membership::name_hash(d.name));
+          return membership::prober_of(v, membership::name_hash(d.name + " 127.0.0.1 9001"));
         }();
         for (auto& s : all)
           if (membership::name_hash(s.name) == chosen) s.lives = false;
@@ -105,8 +107,9 @@
         if (const auto* call = std::get_if<deps::StartCall>(&a)) {
           // Counted once all have noticed: what is left are probes.
           if (out && now >= out_from + 10s) ++calls;
+          const bool fails = out || (now >= out_from && call->endpoint != 0);
           s.ends.push_back({now + 10ms, deps::CallReport{call->id,
-                                                         out ? deps::CallFate::error : deps::CallFate::ok,
+                                                         fails ? deps::CallFate::error : deps::CallFate::ok,
                                                          10ms,
                                                          {},
                                                          std::make_shared<const std::string>("x")}});
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -31,7 +31,7 @@
    {"name":"tile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.2,"worth":1.0},
    {"name":"route-profile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.0,"worth":2.0},
    {"name":"trail-report","aim_ms":1200.0,"deadline_ms":3000.0,"effect":"dedup","late_worth":0.2,
-    "repeat_window_ms":8949.0,"worth":5.0}],
+    "repeat_window_ms":@WINDOW,"worth":5.0}],
   "orgs":[{"name":"turistaterkep","allowance_per_s":54.0,"share":1.0}],
   "limits":{"max_retry_after_ms":1000.0,"retry_after":true},
   "rules":{"answer_slack_ms":100.0,"cold_from":0.2,"cold_ms":18000.0,"drain_grace_ms":2000.0,
@@ -48,15 +48,30 @@
 }
 
 std::string text_of(const udp::endpoint& e) {
-  return e.address().to_string() + ":" + std::to_string(e.port());
+  const auto host = e.address().to_string();
+  return (e.address().is_v6() ? "[" + host + "]" : host) + ":" + std::to_string(e.port());
+}
+
+// A socket on a port that is free, and stays so until the process that it is for takes it: below the range
+// from which the system gives ports to whoever asks for any, as a socket on all addresses would take it away
+// on each.
+udp::socket hold_port(asio::io_context& io, const asio::ip::address& ip, std::size_t number) {
+  constexpr unsigned kFirst = 12000, kCount = 18000, kTries = 200;
+  const auto start = unsigned(::getpid()) * 61u + unsigned(number);
+  for (unsigned k = 0;; ++k) {
+    udp::socket socket(io, ip.is_v6() ? udp::v6() : udp::v4());
+    boost::system::error_code error;
+    socket.bind({ip, std::uint16_t(kFirst + (start + k * 251) % kCount)}, error);
+    if (!error) return socket;
+    if (k >= kTries) throw std::runtime_error("no free port for the fleet: " + error.message());
+  }
 }
 
-// A socket on a port that is free, on this process's own loopback address so that nobody else asks for it.
-udp::socket hold_address(asio::io_context& io, std::size_t number) {
+// This process's own loopback address, so that no other fleet asks for it.
+asio::ip::address own_address(std::size_t number) {
   const auto pid = std::uint32_t(::getpid());
-  const asio::ip::address_v4 own(
+  return asio::ip::address_v4(
       {127, std::uint8_t(64 + pid % 128), std::uint8_t(pid / 128), std::uint8_t(1 + number % 250)});
-  return udp::socket(io, udp::endpoint(own, 0));
 }
 
 void write_file(const std::filesystem::path& path, const std::string& text) {
@@ -122,10 +137,13 @@
   p.name = name;
   p.alias = alias;
   // Held until the network has its own port: guards against both getting the same.
-  auto held = hold_address(io_, number);
+  auto held = hold_port(io_, own_address(number), number);
   p.bound = held.local_endpoint();
   p.advertised = network_->add(alias, p.bound);
   held.close();
+  if (options_.second_paths) {
+    p.second = hold_port(io_, asio::ip::address_v6::loopback(), number).local_endpoint();
+  }
   const auto cost = options_.run_cost;
   p.kernel = std::make_unique<standin::Kernel>(io_, 2, [cost](auto&, auto&) { return cost; });
   p.folder = folder_ / alias;
@@ -134,24 +152,39 @@
   processes_[alias] = std::move(p);
 }
 
+void Fleet::declare(const Process& p, const std::vector<std::string>& from, const std::string& membership) {
+  const auto digits = p.name.find_first_of("0123456789");
+  const auto index = digits == std::string::npos ? 0 : std::stoul(p.name.substr(digits));
+  std::string seeds;
+  const auto second = p.second.port() ? "second: {bind: \"" + text_of(p.second) + "\"}\n\t" : std::string();
+  for (const auto& s : from) seeds += "\"" + s + "\", ";
+  write_file(p.folder / "operator.cue",
+             "version: 1\n" + with(options_.operator_file, "@FOLDER", (p.folder / "state").string()) +
+                 "membership: {\n\tcluster: \"trial\"\n\tbind: \"" + text_of(p.bound) +
+                 "\"\n\tadvertise: \"" + text_of(p.advertised) + "\"\n\tseeds: [" + seeds + "]\n\tzone: \"z" +
+                 std::to_string(index % std::max<std::size_t>(options_.zones, 1)) + "\"\n\t" + second +
+                 membership + "\n}\n");
+}
+
+void Fleet::redeclare(const std::string& name, const Names& seeds, const std::string& membership) {
+  auto& p = at(name);
+  std::vector<std::string> addresses;
+  for (const auto& s : seeds) addresses.push_back(text_of(at(s).advertised));
+  declare(p, addresses, membership.empty() ? options_.membership : membership);
+  if (p.pid && !p.status) ::kill(p.pid, SIGHUP);
+}
+
 void Fleet::launch(Process& p) {
   const auto number = processes_.size();
   auto platform = with(kPlatform, "@NAME", p.name);
   platform = with(platform, "@KERNEL", std::to_string(p.kernel->port()));
   platform = with(platform, "@LIST", std::to_string(list_.local_endpoint().port()));
+  platform = with(platform, "@WINDOW", std::to_string(options_.repeat_window.count() / 1000) + ".0");
   std::ostringstream seed;  // new with each start, as the platform's is
   seed << std::hex << (options_.seed * 1000003 + std::hash<std::string>()(p.alias) + std::uint64_t(number));
   platform = with(platform, "@SEED", seed.str());
   write_file(p.folder / "config.json", platform);
-  const auto digits = p.name.find_first_of("0123456789");
-  const auto index = digits == std::string::npos ? 0 : std::stoul(p.name.substr(digits));
-  std::string seeds;
-  for (const auto& s : seeds_) seeds += "\"" + s + "\", ";
-  write_file(p.folder / "operator.cue",
-             "version: 1\n" + options_.operator_file + "membership: {\n\tcluster: \"trial\"\n\tbind: \"" +
-                 text_of(p.bound) + "\"\n\tadvertise: \"" + text_of(p.advertised) + "\"\n\tseeds: [" + seeds +
-                 "]\n\tzone: \"z" + std::to_string(index % std::max<std::size_t>(options_.zones, 1)) +
-                 "\"\n\t" + options_.membership + "\n}\n");
+  declare(p, seeds_, options_.membership);
   const auto config = "EDGE_CONFIG=" + (p.folder / "config.json").string();
   const auto declared = (p.folder / "operator.cue").string();
   const auto log = (p.folder / "log").string();
@@ -165,6 +198,14 @@
   for (char** e = environ; *e; ++e)
     if (std::strncmp(*e, "EDGE_", 5) != 0) env.push_back(*e);
   env.push_back(config_text.data());
+  std::string preload = "LD_PRELOAD=" + options_.clock_library;
+  std::string shift = "CLOCK_SHIFT_MS=" + std::to_string(p.clock_shift.count());
+  // A sanitizer's runtime wants to be the first library; that it is not is harmless here.
+  std::string order = "ASAN_OPTIONS=verify_asan_link_order=0";
+  if (p.clock_shift.count() != 0) {
+    if (options_.clock_library.empty()) throw std::runtime_error("no library to shift a clock with");
+    for (auto* text : {&preload, &shift, &order}) env.push_back(text->data());
+  }
   env.push_back(nullptr);
   const auto parent = ::getpid();
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -181,6 +222,7 @@
   if (p.pid < 0) throw std::runtime_error("can't start " + p.alias);
   p.status.reset();
   p.paused = false;
+  ++p.lives;
 }
 
 void Fleet::start(const std::string& name) {
@@ -273,6 +315,20 @@
   return std::nullopt;
 }
 
+std::string Fleet::state() const {
+  std::string all;
+  for (const auto& [name, p] : processes_) {
+    auto text = log(name);
+    if (text.size() > 400) text.erase(0, text.size() - 400);
+    siginfo_t ended{};
+    const bool gone = p.pid && !p.status &&
+                      ::waitid(P_PID, id_t(p.pid), &ended, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                      ended.si_pid == p.pid;
+    all += name + (p.status || gone ? " (ended)" : p.paused ? " (paused)" : "") + ":\n" + text + "\n";
+  }
+  return all;
+}
+
 Fleet::Names Fleet::names() const {
   Names all;
   for (const auto& [name, p] : processes_) all.insert(name);
@@ -320,6 +376,12 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 int Fleet::pid(const std::string& name) const { return at(name).pid; }
+std::map<std::pair<std::string, std::string>, int> Fleet::runs(const std::string& name) const {
+  return on_io([&] { return at(name).kernel->runs(); });
+}
+void Fleet::tell_old_ends(const std::string& name) {
+  on_io([&] { at(name).kernel->tell_old_ends(); });
+}
 membership::Address Fleet::bound(const std::string& name) const {
   return membership_udp::address_of(at(name).bound);
 }
@@ -330,8 +392,9 @@
 std::uint16_t Fleet::port(const std::string& name) const {
   const auto text = log(name);
   const std::string mark = "listening on 127.0.0.1:";
-  const auto found = text.rfind(mark);
-  return found == std::string::npos ? 0 : std::uint16_t(std::stoul(text.substr(found + mark.size())));
+  std::size_t said = 0, found = std::string::npos;
+  for (std::size_t i = 0; (i = text.find(mark, i)) != std::string::npos; ++i) found = i, ++said;
+  return said < at(name).lives ? 0 : std::uint16_t(std::stoul(text.substr(found + mark.size())));
 }
 
 }  // namespace granitegap::fleet
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -35,7 +35,10 @@
   std::uint64_t seed = 1;
   std::string membership;  // further fields of the record, such as "period: 200ms"
   std::string operator_file = "dependencies: []\ngathers: []\n";  // the rest of it
-  bool plain = false;  // membership's plain policy, to measure against
+  bool plain = false;                                        // membership's plain policy, to measure against
+  Duration repeat_window = std::chrono::milliseconds(8949);  // of keyed requests
+  bool second_paths = false;                                 // IPv6 on loopback, past the stand-in network
+  std::string clock_library;  // path of granitegap_clock_shift, for shift_clock()
   Duration run_cost = std::chrono::milliseconds(20);
 };
 
@@ -56,6 +59,10 @@
   std::optional<int> status(const std::string& name) const;  // of one that ended: its exit status, or -signal
   void pause(const std::string& name);
   void resume(const std::string& name);
+  // The calendar clock of its next lives is off by so much.
+  void shift_clock(const std::string& name, std::chrono::milliseconds by) { at(name).clock_shift = by; }
+  // Its operator's file with these seeds and further fields, taken over by SIGHUP.
+  void redeclare(const std::string& name, const Names& seeds, const std::string& membership = {});
   // One more process under a name that is taken; its own name here is the other's with "'".
   std::string start_twin(const std::string& name);
 
@@ -79,10 +86,17 @@
   Names names() const;
   Names running() const;  // neither ended nor paused
   std::string log(const std::string& name) const;
+  std::string state()
+      const;  // of every process, and the ends of their logs: for whoever looks why a wait was in vain
   int pid(const std::string& name) const;
   membership::Address bound(const std::string& name) const;
   membership::Address advertised(const std::string& name) const;
-  std::uint16_t port(const std::string& name) const;  // where it serves; 0 before it has said so
+  std::uint16_t port(const std::string& name) const;  // where this life serves; 0 before it has said so
+  // Its stand-in kernel, which outlives it: runs of each (class, body), and whether an earlier life's ends
+  // are told.
+  std::map<std::pair<std::string, std::string>, int> runs(const std::string& name) const;
+  void tell_old_ends(const std::string& name);
+  std::filesystem::path folder(const std::string& name) const { return at(name).folder / "state"; }
   standin::Weather::Seen seen() const;
 
  private:
@@ -90,8 +104,10 @@
     std::string name, alias;  // its name in the fleet
     int pid = 0;
     bool paused = false;
+    std::chrono::milliseconds clock_shift{};
+    std::size_t lives = 0;
     std::optional<int> status;
-    boost::asio::ip::udp::endpoint bound, advertised;
+    boost::asio::ip::udp::endpoint bound, advertised, second;
     std::unique_ptr<standin::Kernel> kernel;
     std::filesystem::path folder;
   };
@@ -99,6 +115,7 @@
   const Process& at(const std::string& name) const;
   void prepare(const std::string& alias, const std::string& name, std::size_t number);
   void launch(Process& process);
+  void declare(const Process& process, const std::vector<std::string>& seeds, const std::string& membership);
   bool reap(Process& process, bool wait);
   template <class F>
   auto on_io(F f) const;
--- a/tools/fleet/simulated.cpp
+++ b/tools/fleet/simulated.cpp
@@ -40,6 +40,13 @@
   }
 }
 
+void Simulated::give_second_paths() {
+  for (Node n = 0; n < nodes_.size(); ++n) {
+    nodes_[n].identity.second = address_of(n, 9500);
+    addresses_[nodes_[n].identity.second] = n;
+  }
+}
+
 void Simulated::start(Node n, membership::Incarnation first) {
   auto& place = nodes_[n];
   ++place.lives;
@@ -107,7 +114,9 @@
     figures_.largest = std::max(figures_.largest, bytes);
     const auto to = addresses_.find(send.to);
     if (to == addresses_.end()) continue;
-    const auto fate = weather_.fate(place.identity.name, nodes_[to->second].identity.name, bytes, elapsed());
+    const std::string path = send.second ? "/2" : "";
+    const auto fate =
+        weather_.fate(place.identity.name + path, nodes_[to->second].identity.name + path, bytes, elapsed());
     if (fate.corrupt || fate.arrives.empty()) continue;  // the checksum finds it
     const auto shared = std::make_shared<const Datagram>(std::move(send.datagram));
     for (const auto after : fate.arrives)
--- a/tools/fleet/simulated.h
+++ b/tools/fleet/simulated.h
@@ -18,6 +18,8 @@
   using Node = std::size_t;
   Simulated(membership::Options options, std::uint64_t seed, std::size_t nodes, std::size_t zones = 3,
             std::size_t seeds = 3);
+  // Before the start: each has a second path; to the weather its ends are "n0/2" and so on.
+  void give_second_paths();
 
   void start_all(Duration over);
   void start(Node n, membership::Incarnation first = 0);  // another life where it has lived; 0: by the clock
--- a/tools/standin/kernel.cpp
+++ b/tools/standin/kernel.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdlib>
 #include <sstream>
 
 namespace granitegap::standin {
@@ -44,7 +45,9 @@
     link_ = std::move(socket);
     out_.clear();
     writing_ = false;
+    linked_ = true;
     co_await serve();
+    linked_ = false;
   }
 }
 
@@ -64,6 +67,29 @@
       asio::detached);
 }
 
+// The end of a run, with its number; kept for a link to come. Whoever began it may be gone by then: then it
+// is told to nobody, or before the next BOOTED under its old number.
+void Kernel::notice(const std::string& rid, const std::string& rest) {
+  if (old_.erase(rid)) return;
+  ++number_;
+  history_.emplace_back(number_, "REAP " + std::to_string(number_) + " " + rid + " " + rest);
+  if (linked_) say(history_.back().second);
+}
+
+void Kernel::open(std::uint64_t last) {
+  if (last == 0) {  // a new start of the program
+    for (const auto& [number, text] : history_)
+      if (tells_old_) say(text);
+    history_.clear();
+    number_ = 0;
+    for (const auto& [rid, run] : running_) old_.insert(rid);
+    for (const auto& [rid, run] : paused_) old_.insert(rid);
+  }
+  say("BOOTED WARM 60000\r\n");
+  for (const auto& [number, text] : history_)
+    if (number > last) say(text);
+}
+
 asio::awaitable<void> Kernel::serve() {
   std::string buffer;
   for (;;) {
@@ -75,13 +101,13 @@
     buffer.erase(0, end);
     std::string verb, word, cls;
     words >> verb >> word;
-    if (verb == "OPEN") say("BOOTED WARM 60000\r\n");
+    if (verb == "OPEN") open(std::strtoull(word.c_str(), nullptr, 10));
     if (verb == "SYSINFO")
       say("INFO " + word + " " + std::to_string(use_) + " " + std::to_string(running_.size()) + " 0.1 1\r\n");
     if (verb == "POST") say("POSTED " + word + " OK\r\n");
     if (verb == "PREEMPT") {
       if (auto node = running_.extract(word)) {
-        say("REAP " + std::to_string(++number_) + " " + word + " STOPPED 0 0\r\n\r\n");
+        notice(word, "STOPPED 0 0\r\n\r\n");
         paused_.insert(std::move(node));
       }
     }
@@ -98,6 +124,8 @@
     }
     const auto body = buffer.substr(0, length);
     buffer.erase(0, length + 2);
+    // For a request that runs already nothing happens.
+    if (running_.count(word) || paused_.count(word)) continue;
     ++runs_[{cls, body}];
     running_[word] = {double(cost_(cls, body).count()), std::chrono::steady_clock::now()};
   }
@@ -123,8 +151,7 @@
         continue;
       }
       const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - it->second.since).count();
-      say("REAP " + std::to_string(++number_) + " " + it->first + " OK " + std::to_string(ms) +
-          " 2\r\nok\r\n");
+      notice(it->first, "OK " + std::to_string(ms) + " 2\r\nok\r\n");
       it = running_.erase(it);
     }
   }
--- a/tools/standin/kernel.h
+++ b/tools/standin/kernel.h
@@ -1,4 +1,5 @@
-// A stand-in kernel on a loopback socket: cores shared evenly by all that runs. It keeps count of what it
+// A stand-in kernel on a loopback socket: cores shared evenly by all that runs. It outlives the program that
+// it works for: runs go on without a link, a new start numbers notices from 1, and it keeps count of what it
 // ran.
 #pragma once
 #include <boost/asio/awaitable.hpp>
@@ -8,7 +9,9 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "granitegap/policy.h"
 
@@ -22,6 +25,8 @@
   std::uint16_t port() const { return door_.local_endpoint().port(); }
   // Runs of each (class, body): more than one of a keyed request is a double run.
   const std::map<std::pair<std::string, std::string>, int>& runs() const { return runs_; }
+  // On the next links: the ends of an earlier life's runs, before BOOTED and under its high numbers.
+  void tell_old_ends() { tells_old_ = true; }
 
  private:
   struct Run {
@@ -32,6 +37,8 @@
   boost::asio::awaitable<void> serve();
   boost::asio::awaitable<void> work();
   void say(std::string text);
+  void notice(const std::string& rid, const std::string& rest);
+  void open(std::uint64_t last);
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor door_;
   boost::asio::ip::tcp::socket link_;
@@ -43,6 +50,10 @@
   std::string out_;
   bool writing_ = false;
   std::uint64_t number_ = 0;
+  bool tells_old_ = false;
+  std::set<std::string> old_;                                   // begun for an earlier start of the program
+  std::vector<std::pair<std::uint64_t, std::string>> history_;  // notices of this start
+  bool linked_ = false;
   double use_ = 0;
 };
 
