Keyed requests wait out what an earlier life of the process may have run

Need: a process that restarts has forgotten which trail reports ran, and would run one again within its window. While the directory can't be used, or another process lives under the name, keyed requests are refused. Reads go on throughout. Tests between processes, counted by a kernel that outlives them: without the wait a report runs twice (control), with it once, after a crash, after an orderly end, after an orderly end followed by a crash; a directory in the way, a damaged file, a clock set back by a minute, a busy directory, two under one name.

--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -114,6 +114,18 @@
 	members_most: int & >=2 & <=100000 | *10000
 }
 
+// How a process comes back after a restart: docs/recovery-operators.md.
+#Recovery: {
+	// What an earlier life ran is not known. wait_out: keyed requests are refused, with the time when to come again,
+	// until each window in which it may have run one is over. go_on: they run at once, and one may run twice.
+	after_lost_memory: "go_on" | *"wait_out"
+	// A directory of this process alone, for what one life leaves to the next: it shortens the wait after an orderly
+	// end on the same boot. While it can't be used keyed requests are refused.
+	folder?: strings.MinRunes(1) & strings.MaxRunes(1024)
+	// A Unix clock that was set back lengthens the wait by as much; past this the earlier one is taken for wrong.
+	clock_back_most: duration & >=0s & <=168h | *1h
+}
+
 #Operator: {
 	version: 1
 	dependencies: list.MaxItems(64) & [...#Dependency]
@@ -125,4 +137,5 @@
 	// Descriptors for calls, idle connections included; they come off the platform's limit.
 	connections: int & >=1 & <=4096 | *128
 	membership?: #Membership
+	recovery?:   #Recovery
 }
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -69,8 +69,9 @@
 void Edge::on(Request request) {
   // A number names one try: a second one under it could not be told apart in the kernel's reports. And a
   // token's result is that of the body it came with: nothing else may be served with it.
-  if (!module_ || by_rid_.count(request.rid) || untimely(request) || keys_.other_body(request))
+  if (closing_ || !module_ || by_rid_.count(request.rid) || untimely(request) || keys_.other_body(request))
     return turn_away(request.from);
+  if (waits_out(request)) return;
   const RequestId id{next_id_++};
   RequestArrived arrived;
   arrived.id = id;
@@ -94,6 +95,46 @@
   events_.emplace_back(arrived);
 }
 
+void Edge::wait_out_lost_memory(Duration clock_back_most, TimePoint started) {
+  recovery::LostMemory::Rules rules;
+  for (std::size_t i = 0; i < settings_.settings.classes.size(); ++i)
+    rules.windows.push_back(
+        catalog_.is_keyed(ClassId(i))
+            ? settings_.settings.classes[i].repeat_window.value_or(std::chrono::seconds(60))
+            : Duration{});
+  rules.clock_back_most = clock_back_most;
+  lost_memory_.emplace(std::move(rules), started);
+}
+
+// A keyed request that an earlier life may have run is refused before it costs anything, and told when to
+// come again. By when it reached the machine: guards against one that lay unread until the doubt was over.
+bool Edge::waits_out(const Request& request) {
+  if (!lost_memory_ || !catalog_.is_keyed(request.cls)) return false;
+  const auto reached = now_.steady - std::max(now_.unix - request.reached, Duration{});
+  if (!lost_memory_->in_doubt(request.cls, reached)) return false;
+  const auto most = settings_.settings.max_advice.value_or(Duration{});
+  const auto until = lost_memory_->until(request.cls);
+  const auto left = until == TimePoint::max() ? most : std::max(until - now_.steady, Duration(1000));
+  out_.emplace_back(Answer{request.from, Outcome::refused, nullptr, hint_, std::min(left, most), false});
+  return true;
+}
+
+void Edge::on(const Closing&) { closing_ = true; }
+
+void Edge::on(const EarlierLifeNews& news) {
+  if (!lost_memory_) return;
+  lost_memory_->learn(news.found, now_.steady);
+  say_how_long();
+}
+
+void Edge::say_how_long() {
+  const auto until = lost_memory_->longest();
+  if (until == TimePoint::max() || until <= now_.steady) return;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(until - now_.steady).count();
+  remark("keyed requests wait " + std::to_string(ms) + " ms for what an earlier life may have run",
+         "keyed_wait");
+}
+
 // Guards against stamps that no request of this machine can bear: in the future, or past the moment when it
 // was due its answer. Such a stamp would also move the window in which its token must not run again.
 bool Edge::untimely(const Request& request) const {
@@ -409,6 +450,7 @@
   if (!fleet_) fleet_ = std::make_unique<Fleet>(Fleet{0, std::mt19937_64(seed_)});
   // Without a majority the missing may be this one: its advice stays as it is.
   fleet_->missing = news.view->majority ? membership::missing_share(*news.view) : 0;
+  if (lost_memory_) lost_memory_->another_lives(news.view->twin, now_.steady);
   if (gatherer_) gatherer_->fleet(news.view, now_.steady);
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -30,6 +30,10 @@
   using Compose = std::function<Product(std::string result, const std::vector<GatheredPart>& parts)>;
   void declare(std::shared_ptr<const deps::Spec> spec, Compose compose, bool guarded = true);
 
+  // Keyed requests wait out what an earlier life may have run; before the first step. `margin` and the like
+  // are the rules' own, windows come from the settings.
+  void wait_out_lost_memory(Duration clock_back_most, TimePoint started);
+
   // All that came since the last step, in order; what is to be done now, in order.
   std::vector<Output> step(Now now, std::vector<Input> inputs);
   std::optional<TimePoint> next_timer();
@@ -80,6 +84,10 @@
   void on(const deps::CallReport& report);
   void on(const NewDeclaration& fresh);
   void on(const FleetNews& news);
+  void on(const EarlierLifeNews& news);
+  void on(const Closing& closing);
+  bool waits_out(const Request& request);
+  void say_how_long();
   void fire_timers();
 
   void apply(const Run& a);
@@ -149,12 +157,13 @@
     double missing = 0;  // share of the agreed fleet
     std::mt19937_64 random;
   };
-  std::unique_ptr<Fleet> fleet_;  // where membership is declared
-  TimePoint born_{};              // the kernel
+  std::unique_ptr<Fleet> fleet_;                     // where membership is declared
+  std::optional<recovery::LostMemory> lost_memory_;  // where it is declared; gone once nothing is in doubt
+  TimePoint born_{};                                 // the kernel
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
   std::size_t unanswered_ = 0;
-  bool from_store_ = false, good_ = true;
+  bool from_store_ = false, good_ = true, closing_ = false;
 };
 
 }  // namespace granitegap::edge
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -12,6 +12,7 @@
 #include "deps/gatherer.h"
 #include "granitegap/policy.h"
 #include "membership/views.h"
+#include "recovery/lost_memory.h"
 
 namespace granitegap::edge {
 
@@ -119,6 +120,10 @@
 struct FleetNews {  // who else is there, by the newest view
   std::shared_ptr<const membership::View> view;
 };
+struct EarlierLifeNews {  // what is found of the life before this one
+  recovery::EarlierLife found;
+};
+struct Closing {};  // nothing that comes from here on may run: the end is being written down
 struct GatheredPart {
   std::string name;
   deps::PartStatus status = deps::PartStatus::absent;
@@ -165,9 +170,9 @@
   Origin from;
 };
 
-using Input =
-    std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
-                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews>;
+using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
+                           RunReport, CommandRejected, Gauges, DeepCheckDone, deps::CallReport,
+                           NewDeclaration, FleetNews, EarlierLifeNews, Closing>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -54,6 +54,12 @@
     to.spec.remember_failures = top["remember_failures"].as_span();
     to.connections = std::size_t(top["connections"].as_int());
     if (const auto* m = top.find("membership")) to.membership = membership(*m);
+    if (const auto* r = top.find("recovery")) {
+      const auto* folder = r->find("folder");
+      to.recovery =
+          Declared::Recovery{(*r)["after_lost_memory"].as_text() == "wait_out",
+                             folder ? folder->as_text() : std::string(), (*r)["clock_back_most"].as_span()};
+    }
   }
 
  private:
@@ -185,12 +191,6 @@
       fail(v["bind"], path + ".bind", "others can't reach this address: expected advertise beside it");
     if (m.bind && m.advertise && m.bind.v6 != m.advertise.v6)
       fail(*advertise, path + ".advertise", "expected the same family of addresses as bind");
-    const auto& seeds = v["seeds"].as_list();
-    for (std::size_t i = 0; i < seeds.size(); ++i) {
-      const auto here = path + ".seeds[" + std::to_string(i) + "]";
-      const auto seed = read(seeds[i], here);
-      if (seed && m.bind && seed.v6 != m.bind.v6)
-        fail(seeds[i], here, "expected the same family of addresses as bind");
     if (const auto* second = v.find("second")) {
       const auto here = path + ".second";
       m.second_bind = read((*second)["bind"], here + ".bind");
@@ -201,6 +201,12 @@
       if (m.second_bind && m.second_advertise && m.second_bind.v6 != m.second_advertise.v6)
         fail(*told, here + ".advertise", "expected the same family of addresses as bind");
     }
+    const auto& seeds = v["seeds"].as_list();
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+      const auto here = path + ".seeds[" + std::to_string(i) + "]";
+      const auto seed = read(seeds[i], here);
+      if (seed && m.bind && seed.v6 != m.bind.v6)
+        fail(seeds[i], here, "expected the same family of addresses as bind");
       m.options.seeds.push_back(seed);
     }
     auto& o = m.options;
--- a/src/operators/operator_file.h
+++ b/src/operators/operator_file.h
@@ -21,6 +21,13 @@
   std::vector<std::pair<std::string, records::Position>> classes;  // of the gathers, in order
   std::size_t connections = 128;
   std::optional<membership_udp::Settings> membership;
+  struct Recovery {
+    bool wait_out = true;  // keyed requests, after memory was lost
+    std::string folder;    // empty: none
+    Duration clock_back_most{};
+    bool operator==(const Recovery&) const = default;
+  };
+  std::optional<Recovery> recovery;
   records::Value filled;  // the file, with defaults
   std::string file;
 };
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-edge::Edge Server::make_edge(const config::Config& config, const Extras& extras) {
+edge::Edge Server::make_edge(const config::Config& config, const Extras& extras, TimePoint started) {
   edge::Edge edge(config.parsed, config.catalog, config.seed);
   if (extras.declared)
     edge.declare(
@@ -41,6 +41,9 @@
           return parts::compose(std::move(result), parts, kMostComposed);
         },
         extras.guarded);
+  if (const auto* d = extras.declared ? &*extras.declared : nullptr;
+      d && d->recovery && d->recovery->wait_out)
+    edge.wait_out_lost_memory(d->recovery->clock_back_most, started);
   return edge;
 }
 
@@ -57,7 +60,7 @@
       extras_(std::move(extras)),
       log_(config_.name, extras_.log),
       module_(
-          context.get_executor(), make_edge(config_, extras_), config_.limits.memory_mb,
+          context.get_executor(), make_edge(config_, extras_, clocks().steady), config_.limits.memory_mb,
           [this](edge::Output output) { dispatch(std::move(output)); }, clocks),
       link_(context.get_executor(), address<asio::ip::tcp>(config_.kernel), config_.catalog,
             module_.mailbox(), log_),
@@ -67,6 +70,13 @@
   clocks_ = std::move(clocks);
   if (!extras_.declared) return;
   if (extras_.declared->membership) join_fleet();
+  if (const auto& r = extras_.declared->recovery; r && r->wait_out && !r->folder.empty())
+    keeper_ = std::make_unique<snapshot::Keeper>(
+        context.get_executor(), r->folder, config_.name,
+        [this](const recovery::EarlierLife& found) {
+          module_.mailbox().post_control(edge::EarlierLifeNews{found});
+        },
+        log_);
   // Ends of calls always find room: the limits on open calls bound their number.
   caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
@@ -102,8 +112,10 @@
   if (caller_) spawn(caller_->mind_idle());
   if (fleet_) {
     spawn(fleet_->receive());
+    if (fleet_->has_second()) spawn(fleet_->receive_second());
     spawn(fleet_->run());
   }
+  if (keeper_) spawn(keeper_->run());
   const auto at = local();
   log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()),
             {{"event", "listening"}, {"port", std::int64_t(at.port())}});
@@ -112,7 +124,6 @@
                   std::to_string(extras_.declared->spec.dependencies.size()) + " dependencies, " +
                   std::to_string(extras_.declared->spec.gathers.size()) + " classes gather",
               {{"event", "declared"}, {"file", extras_.declared->file}});
-    if (fleet_->has_second()) spawn(fleet_->receive_second());
 }
 
 // An actor that ends by an exception has broken its promises: better a clear end than half a server.
@@ -201,6 +212,9 @@
               {{"event", "reload_kept"}, {"kept", "membership"}});
   else if (fleet_)
     fleet_->change(*fresh.membership);
+  if (fresh.recovery != extras_.declared->recovery)
+    log_.line("reload: changed but kept until a restart: recovery",
+              {{"event", "reload_kept"}, {"kept", "recovery"}});
   const auto connections = extras_.declared->connections;
   extras_.declared = std::move(fresh);
   extras_.declared->connections = connections;
@@ -220,15 +234,21 @@
   asio::steady_timer timer(context_, end - std::min(kDoorBefore, config_.stop / 4));
   co_await timer.async_wait(asio::use_awaitable);
   listener_.close_door();
+  bool closing = false;
   const auto crossed = Clock::now() + std::min(kCrossing, config_.stop / 16);
   while (Clock::now() < end) {
     timer.expires_after(kLook);
     co_await timer.async_wait(asio::use_awaitable);
     if (Clock::now() < crossed || !module_.at_rest() || !listener_.at_rest()) continue;
     // Nothing is owed any more: the fleet hears that this one leaves, and it waits for some of them to know.
-    if (!fleet_) break;
-    fleet_->leave();
-    if (fleet_->has_left()) break;
+    if (fleet_) fleet_->leave();
+    // Before an end is written down nothing more may run; what came in the meantime is answered first.
+    if (keeper_ && !std::exchange(closing, true)) {
+      module_.mailbox().post_control(edge::Closing{});
+      continue;
+    }
+    if (keeper_) keeper_->end();
+    if ((!fleet_ || fleet_->has_left()) && (!keeper_ || keeper_->over())) break;
   }
   const bool all = module_.at_rest() && listener_.at_rest();
   log_.line(all ? "left: all answered" : "left: with answers unsent",
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -13,6 +13,7 @@
 #include "membership_udp/actor.h"
 #include "net/listener.h"
 #include "operators/operator_file.h"
+#include "snapshot/keeper.h"
 
 namespace granitegap {
 
@@ -53,7 +54,7 @@
   boost::asio::awaitable<void> leave();
   void join_fleet();
 
-  static edge::Edge make_edge(const config::Config& config, const Extras& extras);
+  static edge::Edge make_edge(const config::Config& config, const Extras& extras, TimePoint started);
   static std::size_t sockets_for_peers(const config::Config& config, const Extras& extras);
 
   boost::asio::io_context& context_;
@@ -66,6 +67,7 @@
   net::Listener listener_;
   std::optional<deps_http::Caller> caller_;
   std::unique_ptr<membership_udp::Actor> fleet_;  // only where it is declared
+  std::unique_ptr<snapshot::Keeper> keeper_;      // the same
   edge::ModuleActor::Clocks clocks_;
   bool leaving_ = false;
 };
--- /dev/null
+++ b/src/snapshot/life_file.h
@@ -0,0 +1,66 @@
+// What one life of a process leaves to the next on disk: that it ended in order, and when. One small file in
+// a directory of its own, written last of all and taken away first of all; docs/recovery.md tells why.
+//
+// Blocking; call it off the io thread. Errors: values that name the step and the system's word for it; a file
+// that can't be believed is no file, and says so.
+#pragma once
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "granitegap/policy.h"
+#include "recovery/lost_memory.h"
+
+namespace granitegap::snapshot {
+
+// Two clocks, read together. `boot` names the boot whose clock `since_boot` is; empty where it can't be told.
+struct Stamp {
+  std::string boot;
+  Duration since_boot{};
+  std::int64_t unix_us = 0;
+};
+Stamp read_stamp();
+
+struct Fault {
+  std::string step, why;
+  std::string text() const { return step + ": " + why; }
+};
+struct Ended {  // in order
+  std::string name;
+  Stamp at;
+};
+struct Nothing {};  // there is no such file
+
+// ---- The bytes; no I/O ----
+std::string encode(const Ended& ended);
+std::variant<Ended, Fault> decode(const std::string& bytes);
+
+// What the file proves at `now`: the span since the end only by one boot's clock, as a Unix clock may have
+// jumped in between.
+recovery::EarlierLife earlier_life(const Ended& ended, const Stamp& now);
+
+// ---- The file ----
+std::variant<Ended, Nothing, Fault> read_ended(const std::filesystem::path& folder);
+// Durable before it returns without a fault.
+std::optional<Fault> write_ended(const std::filesystem::path& folder, const Ended& ended);
+std::optional<Fault> take_ended(const std::filesystem::path& folder);
+
+// One process at a time owns the directory: guards against a predecessor that is still draining, and would
+// write its end after this one has begun. Given back by the system when the process is over, however.
+class FolderLock {
+ public:
+  FolderLock() = default;
+  ~FolderLock();
+  FolderLock(const FolderLock&) = delete;
+  FolderLock& operator=(const FolderLock&) = delete;
+  // Makes the directory where it is missing. Without a fault it is held.
+  std::optional<Fault> take(const std::filesystem::path& folder);
+  bool held() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+}  // namespace granitegap::snapshot
