Updates that have gone round are no longer repeated; a simulated fleet may begin formed

Cause: after 1,000 members had formed, each went on for a minute sending what all knew: 7.7 KB a member and second against 6 wanted. Change: an update that was sent is dropped once the time of an epidemic, twice over, is past (Spread::fill). Member::introduce takes a fleet that is known from elsewhere.

--- a/bench/membership_sim.cpp
+++ b/bench/membership_sim.cpp
@@ -2,7 +2,7 @@
 //
 //   granitegap_bench_membership_sim [--scenario calm|loss|kill|mass_kill|pauses|halves|probers] [--seed N]
 //   [--size N]
-//                                   [--seconds N] [--loss X] [--plain]
+//                                   [--seconds N] [--loss X] [--plain] [--formed]
 //
 // The last line is one JSON object. `bytes` count the codec's upper bound, so the wire carries less.
 // `agree_ms`: from the fault to the moment when every living member holds it.
@@ -40,7 +40,7 @@
   std::size_t size = 48;
   int seconds = 60;
   double loss = 0.05;
-  bool plain = false;
+  bool plain = false, formed = false;
 };
 
 // Probes a second at the bottom of an outage, from so many servers, and how fast all know that it is over.
@@ -73,7 +73,10 @@
     }
   };
   // One after the other by the seeds' rate, then until they agree.
-  f.start_all(std::chrono::milliseconds(20) * std::int64_t(p.size));
+  if (p.formed)
+    f.start_formed();
+  else
+    f.start_all(std::chrono::milliseconds(20) * std::int64_t(p.size));
   const auto formed_from = f.now();
   const auto alive_everywhere = [&] {
     for (std::size_t n = 0; n < p.size; ++n)
@@ -166,6 +169,7 @@
   app.add_option("--size", p.size, "Members")->check(CLI::Range(1, 10000));
   app.add_option("--seconds", p.seconds, "Virtual, of the scenario")->check(CLI::Range(1, 3600));
   app.add_option("--loss", p.loss, "Share of datagrams")->check(CLI::Range(0.0, 1.0));
+  app.add_flag("--formed", p.formed, "Begin with a fleet in which all know all");
   app.add_flag("--plain", p.plain, "Fixed timeouts, direct probes, no refutation");
   CLI11_PARSE(app, argc, argv);
   std::printf("%s\n", granitegap::bench::play(p).dump().c_str());
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -57,6 +57,14 @@
   options_.plain = plain;
 }
 
+void Member::introduce(const std::vector<Record>& known, TimePoint now) {
+  now_ = std::max(now_, now);
+  const bool joined = std::exchange(joined_, false);
+  for (const auto& r : known)
+    if (r.name != self_.name) apply(r, now_, false, true);
+  joined_ = joined;
+}
+
 // ---- Time ----
 
 TimePoint Member::next_wake() const {
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -103,6 +103,9 @@
   void leave(TimePoint now);
   bool has_left() const { return leaving_ && (leave_rounds_ >= 3 || leave_acks_ >= 2); }
 
+  // Whom an earlier look at the fleet has shown: probed like others, and no news to anybody.
+  void introduce(const std::vector<Record>& known, TimePoint now);
+
   // Fresh times and seeds; identity stays.
   void change(const Options& options);
 
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -36,7 +36,8 @@
   const bool stranger = filler_to > 0;
   if (!stranger && !std::holds_alternative<Piece>(d.body))
     spread_.fill(d.updates, kMostDatagram - used,
-                 times_to_spread(options_, roster_.present() + 1, spread_.size()), now);
+                 times_to_spread(options_, roster_.present() + 1, spread_.size()),
+                 time_to_spread(options_, roster_.present() + 1), now);
   if (filler_to > used + 3) d.filler = std::uint16_t(filler_to - used - 3);
   sends_.push_back({to, std::move(d)});
 }
--- a/src/membership/spread.cpp
+++ b/src/membership/spread.cpp
@@ -8,6 +8,10 @@
 
 constexpr std::size_t kCrowd = 64;  // updates that wait, from which on each is sent on less often
 
+unsigned whole_log(std::size_t fleet) {
+  return unsigned(std::max(1.0, std::ceil(std::log10(double(fleet) + 1))));
+}
+
 }  // namespace
 
 void Spread::add(Record record, TimePoint now) {
@@ -30,13 +34,18 @@
   items_.erase(it);
 }
 
-void Spread::fill(std::vector<Record>& to, std::size_t room, unsigned times, TimePoint now) {
+void Spread::fill(std::vector<Record>& to, std::size_t room, unsigned times, Duration lasts, TimePoint now) {
   constexpr std::size_t kLeast = 60;  // no record is smaller
   constexpr unsigned kMisfits = 4;    // guards against a search of the whole queue for the last few bytes
   unsigned misfits = 0;
   std::vector<Key> taken;
   for (auto it = queue_.begin(); it != queue_.end() && room >= kLeast;) {
     auto& item = items_.at(it->member);
+    if (item.sent > 0 && now - item.added > lasts) {
+      items_.erase(it->member);
+      it = queue_.erase(it);
+      continue;
+    }
     const bool there = std::any_of(to.begin(), to.end(), [&](auto& r) { return r.name == item.record.name; });
     if (there || item.bytes > room) {
       if (++misfits >= kMisfits) break;
@@ -59,8 +68,12 @@
   }
 }
 
+Duration time_to_spread(const Options& options, std::size_t fleet) {
+  return options.period * std::int64_t(options.spread * whole_log(fleet));
+}
+
 unsigned times_to_spread(const Options& options, std::size_t fleet, std::size_t waiting) {
-  const auto times = options.spread * unsigned(std::max(1.0, std::ceil(std::log10(double(fleet) + 1))));
+  const auto times = options.spread * whole_log(fleet);
   return waiting <= kCrowd ? times : std::max(2u, unsigned(times * kCrowd / waiting));
 }
 
--- a/src/membership/spread.h
+++ b/src/membership/spread.h
@@ -14,8 +14,10 @@
   // Takes the place of what was waiting about the same member.
   void add(Record record, TimePoint now);
   void drop(std::uint64_t member);
-  // Fills up `to` with at most `room` bytes; `times`: how often each may be sent in all.
-  void fill(std::vector<Record>& to, std::size_t room, unsigned times, TimePoint now);
+  // Fills up `to` with at most `room` bytes; `times`: how often each may be sent in all; `lasts`: how long
+  // one that was sent at all may go on. Guards against a fleet that has formed and repeats for a minute what
+  // all know.
+  void fill(std::vector<Record>& to, std::size_t room, unsigned times, Duration lasts, TimePoint now);
   std::size_t size() const { return items_.size(); }
 
  private:
@@ -40,5 +42,7 @@
 // fleet joins at once: new ones must not stand behind the hundredth repetition of old ones, and exchanges
 // repair what is missed.
 unsigned times_to_spread(const Options& options, std::size_t fleet, std::size_t waiting);
+// In how long an epidemic reaches all of them, with as much again for those that it misses at first.
+Duration time_to_spread(const Options& options, std::size_t fleet);
 
 }  // namespace granitegap::membership
--- a/tools/fleet/simulated.cpp
+++ b/tools/fleet/simulated.cpp
@@ -67,6 +67,17 @@
   }
 }
 
+void Simulated::start_formed() {
+  std::vector<membership::Record> all;
+  for (Node n = 0; n < nodes_.size(); ++n) {
+    start(n);
+    const auto& m = *nodes_[n].member;
+    all.push_back(
+        {m.self().name, m.self().address, m.self().life, m.incarnation(), Status::alive, 0, 0, m.told()});
+  }
+  for (auto& place : nodes_) place.member->introduce(all, now_);
+}
+
 void Simulated::move(Node n, std::uint16_t port) {
   addresses_.erase(nodes_[n].identity.address);
   nodes_[n].identity.address.port = port;
--- a/tools/fleet/simulated.h
+++ b/tools/fleet/simulated.h
@@ -23,6 +23,8 @@
 
   void start_all(Duration over);
   void start(Node n, membership::Incarnation first = 0);  // another life where it has lived; 0: by the clock
+  // All at once, each knowing all: to begin at a size at which forming would take most of the run.
+  void start_formed();
   void kill(Node n) { nodes_[n].member.reset(); }
   void pause(Node n) { nodes_[n].paused = true; }
   void resume(Node n);
