--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -70,6 +70,11 @@
 	parts:  list.MinItems(1) & list.MaxItems(32) & [...#Part]
 }
 
+#Path: {
+	bind:       strings.MinRunes(1)
+	advertise?: strings.MinRunes(1)
+}
+
 // Who else of the fleet is there: docs/membership-operators.md.
 #Membership: {
 	// Only members of one cluster hear each other.
@@ -77,6 +82,8 @@
 	// The UDP address to listen on, and the one that others are told, where that differs.
 	bind:       strings.MinRunes(1)
 	advertise?: strings.MinRunes(1)
+	// Another way to reach this process, as over other cables or by IPv6: asked by where the first one is late.
+	second?: #Path
 	// Members to begin with: numeric addresses, nothing is looked up. Its own may be among them.
 	seeds: list.MaxItems(64) & [...string]
 	// Machines that fail together share a zone.
@@ -107,6 +114,18 @@
 	members_most: int & >=2 & <=100000 | *10000
 }
 
+// How a process comes back after a restart: docs/recovery-operators.md.
+#Recovery: {
+	// What an earlier life ran is not known. wait_out: keyed requests are refused, with the time when to come again,
+	// until each window in which it may have run one is over. go_on: they run at once, and one may run twice.
+	after_lost_memory: "go_on" | *"wait_out"
+	// A directory of this process alone, for what one life leaves to the next: it shortens the wait after an orderly
+	// end on the same boot. While it can't be used keyed requests are refused.
+	folder?: strings.MinRunes(1) & strings.MaxRunes(1024)
+	// A Unix clock that was set back lengthens the wait by as much; past this the earlier one is taken for wrong.
+	clock_back_most: duration & >=0s & <=168h | *1h
+}
+
 #Operator: {
 	version: 1
 	dependencies: list.MaxItems(64) & [...#Dependency]
@@ -118,4 +137,5 @@
 	// Descriptors for calls, idle connections included; they come off the platform's limit.
 	connections: int & >=1 & <=4096 | *128
 	membership?: #Membership
+	recovery?:   #Recovery
 }
--- a/tools/fleet/simulated.h
+++ b/tools/fleet/simulated.h
@@ -18,9 +18,13 @@
   using Node = std::size_t;
   Simulated(membership::Options options, std::uint64_t seed, std::size_t nodes, std::size_t zones = 3,
             std::size_t seeds = 3);
+  // Before the start: each has a second path; to the weather its ends are "n0/2" and so on.
+  void give_second_paths();
 
   void start_all(Duration over);
   void start(Node n, membership::Incarnation first = 0);  // another life where it has lived; 0: by the clock
+  // All at once, each knowing all: to begin at a size at which forming would take most of the run.
+  void start_formed();
   void kill(Node n) { nodes_[n].member.reset(); }
   void pause(Node n) { nodes_[n].paused = true; }
   void resume(Node n);
