--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -122,6 +122,8 @@
 	// A directory of this process alone, for what one life leaves to the next: it shortens the wait after an orderly
 	// end on the same boot. While it can't be used keyed requests are refused.
 	folder?: strings.MinRunes(1) & strings.MaxRunes(1024)
+	// How often what was learned is written there.
+	snapshot_every: duration & >=100ms & <=1h | *5s
 	// A Unix clock that was set back lengthens the wait by as much; past this the earlier one is taken for wrong.
 	clock_back_most: duration & >=0s & <=168h | *1h
 }
--- a/src/deps/endpoints.cpp
+++ b/src/deps/endpoints.cpp
@@ -169,6 +169,37 @@
   }
 }
 
+std::optional<EndpointSet::Known> EndpointSet::known(Index i, TimePoint now) const {
+  const auto& e = all_[i];
+  Known k;
+  if (e.state == State::ejected) k.out_for = std::max(e.until - now, Duration{});
+  k.times_out = e.times_out;
+  if (e.peak_us > 0) {
+    k.latency = Duration(std::int64_t(e.peak_us));
+    k.heard_ago = std::max(now - e.heard, Duration{});
+  }
+  if (e.state == State::gone || (k.out_for.count() == 0 && k.latency.count() == 0)) return std::nullopt;
+  return k;
+}
+
+bool EndpointSet::learn(Index i, const Known& k, TimePoint now) {
+  auto& e = all_[i];
+  if (e.state != State::in || e.peak_us > 0 || e.in_a_row > 0 || e.times_out > 0) return false;
+  if (k.latency.count() > 0) {
+    e.peak_us = double(k.latency.count());
+    e.heard = now - k.heard_ago;
+  }
+  if (k.out_for.count() <= 0) return true;
+  std::size_t there = 0;
+  for (const auto& x : all_) there += x.state != State::gone;
+  if (count_out() + 1 > std::size_t(most_ejected_ * double(there))) return true;
+  e.state = State::ejected;
+  all_in_ = false;
+  e.until = now + std::min(k.out_for, eject_most_);
+  e.times_out = std::clamp<std::uint32_t>(k.times_out, 1, kGrowths);
+  return true;
+}
+
 std::size_t EndpointSet::count_out() const {
   return std::size_t(std::count_if(all_.begin(), all_.end(), [](const auto& e) {
     return e.state == State::ejected || e.state == State::half_open;
--- a/src/deps/endpoints.h
+++ b/src/deps/endpoints.h
@@ -40,6 +40,15 @@
   const EndpointSpec& address(Index i) const { return all_[i].address; }
   bool ejected(Index i) const { return all_[i].state != State::in; }
   std::size_t count_out() const;
+  // What is known of one, for another life or process; absent where nothing is.
+  struct Known {
+    Duration out_for{}, latency{}, heard_ago{};
+    std::uint32_t times_out = 0;
+  };
+  std::optional<Known> known(Index i, TimePoint now) const;
+  // Only where nothing of one's own is known yet: own evidence overrules what was learned, whichever came
+  // first.
+  bool learn(Index i, const Known& known, TimePoint now);
   std::size_t places() const { return all_.size(); }  // those that went among them
   bool gone(Index i) const { return all_[i].state == State::gone; }
 
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -637,6 +637,28 @@
   return found;
 }
 
+void Gatherer::export_to(learned::Learned& to, TimePoint now) const {
+  for (const auto& d : deps_)
+    for (std::uint32_t i = 0; i < d.endpoints.places(); ++i)
+      if (const auto k = d.endpoints.known(i, now)) {
+        const auto& a = d.endpoints.address(i);
+        to.endpoints.push_back(
+            {d.spec.name, a.host, a.port, k->out_for, k->times_out, k->latency, k->heard_ago});
+      }
+}
+
+std::size_t Gatherer::learn(const learned::Learned& from, TimePoint now) {
+  std::size_t used = 0;
+  for (const auto& e : from.endpoints)
+    for (auto& d : deps_) {
+      if (d.spec.name != e.dependency) continue;
+      for (std::uint32_t i = 0; i < d.endpoints.places(); ++i)
+        if (d.endpoints.address(i) == EndpointSpec{e.host, e.port})
+          used += d.endpoints.learn(i, {e.out_for, e.latency, e.heard_ago, e.times_out}, now);
+    }
+  return used;
+}
+
 bool Gatherer::failed_lately(const Key& key, TimePoint now) const {
   const auto& f = failures_[std::size_t(key.low % kFailures)];
   return f.key == key && now < f.until;
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -38,6 +38,7 @@
 #include "deps/path_template.h"
 #include "deps/slot_index.h"
 #include "deps/spec.h"
+#include "learned/learned.h"
 #include "membership/views.h"
 
 namespace granitegap::deps {
@@ -128,6 +129,10 @@
   void fleet(std::shared_ptr<const membership::View> view, TimePoint now);
   std::vector<membership::Finding> findings(TimePoint now) const;
 
+  // What is known of endpoints, for another life; and what an earlier one knew. The number that was of use.
+  void export_to(learned::Learned& to, TimePoint now) const;
+  std::size_t learn(const learned::Learned& from, TimePoint now);
+
   const EndpointSpec& address(std::uint32_t dependency, std::uint32_t endpoint) const {
     return deps_[dependency].endpoints.address(endpoint);
   }
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -119,6 +119,18 @@
   return true;
 }
 
+void Edge::on(const LearnedNews& news) {
+  if (!gatherer_) return;
+  if (const auto used = gatherer_->learn(news.what, now_.steady))
+    remark("learned of " + std::to_string(used) + " endpoints from an earlier life", "learned");
+}
+
+learned::Learned Edge::learned(TimePoint now) const {
+  learned::Learned what;
+  if (gatherer_) gatherer_->export_to(what, now);
+  return what;
+}
+
 void Edge::on(const Closing&) { closing_ = true; }
 
 void Edge::on(const EarlierLifeNews& news) {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -47,6 +47,8 @@
     std::vector<membership::Finding> findings;
   };
   Standing standing(TimePoint now) const;
+  // What another life of this process could use.
+  learned::Learned learned(TimePoint now) const;
 
  private:
   // gathering: the module let it run, and what it needs from below is asked for first.
@@ -85,6 +87,7 @@
   void on(const NewDeclaration& fresh);
   void on(const FleetNews& news);
   void on(const EarlierLifeNews& news);
+  void on(const LearnedNews& news);
   void on(const Closing& closing);
   bool waits_out(const Request& request);
   void say_how_long();
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -11,6 +11,7 @@
 
 #include "deps/gatherer.h"
 #include "granitegap/policy.h"
+#include "learned/learned.h"
 #include "membership/views.h"
 #include "recovery/lost_memory.h"
 
@@ -123,6 +124,9 @@
 struct EarlierLifeNews {  // what is found of the life before this one
   recovery::EarlierLife found;
 };
+struct LearnedNews {  // what an earlier life knew, faded by its age
+  learned::Learned what;
+};
 struct Closing {};  // nothing that comes from here on may run: the end is being written down
 struct GatheredPart {
   std::string name;
@@ -172,7 +176,7 @@
 
 using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
                            RunReport, CommandRejected, Gauges, DeepCheckDone, deps::CallReport,
-                           NewDeclaration, FleetNews, EarlierLifeNews, Closing>;
+                           NewDeclaration, FleetNews, EarlierLifeNews, LearnedNews, Closing>;
 
 // ---- To the list, the peers and the log ----
 struct Report {
--- /dev/null
+++ b/src/learned/learned.h
@@ -0,0 +1,51 @@
+// What a process has learned and a later life of it may use: a typed, bounded value, each piece with its age.
+// Export and import are functions of the decision objects; nothing here does I/O or reads a clock.
+//
+// Nothing of it decides by itself: a piece fades with its age by kind, is dropped past a most, and the first
+// evidence of one's own overrules it.
+//
+// | piece | used for | fades |
+// | --- | --- | --- |
+// | an endpoint's ejection | not choosing it until its time is over | what is left of its time, less the age
+// | | an endpoint's latency | choosing among endpoints | as one's own does, within seconds | | members'
+// addresses | whom to call beside the seeds | dropped after a day: an address is only asked |
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "granitegap/policy.h"
+#include "membership/types.h"
+
+namespace granitegap::learned {
+
+inline constexpr std::size_t kMostEndpoints = 1024, kMostMembers = 512;
+inline constexpr Duration kLatencyLasts = std::chrono::seconds(60);
+inline constexpr Duration kMembersLast = std::chrono::hours(24);
+
+struct Endpoint {
+  std::string dependency, host;
+  std::uint16_t port = 0;
+  Duration out_for{};           // what is left of its ejection; zero: it is in
+  std::uint32_t times_out = 0;  // in a row: the next ejection lasts longer
+  Duration latency{};           // its recent peak; zero: not known
+  Duration heard_ago{};         // when that was
+  bool operator==(const Endpoint&) const = default;
+};
+
+struct Learned {
+  std::string by;          // the process's name
+  std::uint64_t life = 0;  // which of its lives; 0: it takes part in no fleet
+  std::vector<Endpoint> endpoints;
+  std::vector<membership::Address> members;  // alive in the last certain view, without this one
+  bool operator==(const Learned&) const = default;
+};
+
+// Keeps to the bounds: the endpoints with most to say, the members as they come.
+void bound(Learned& learned);
+
+// As it may still be used after `age`; nothing of it that fades where the age is not known.
+Learned faded(Learned learned, std::optional<Duration> age);
+
+}  // namespace granitegap::learned
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "membership_udp/ask.h"
 #include "server/server.h"
+#include "snapshot/show.h"
 
 namespace granitegap {
 namespace {
@@ -129,6 +130,17 @@
   }
 }
 
+// What a snapshot holds, or that it can't be believed.
+int snapshot_file(const std::string& path, bool show) {
+  const auto read = snapshot::read_snapshot_file(path);
+  if (const auto* fault = std::get_if<snapshot::Fault>(&read)) {
+    std::fprintf(stderr, "granitegap: %s: %s\n", path.c_str(), fault->text().c_str());
+    return 1;
+  }
+  std::puts(show ? snapshot::to_json(std::get<snapshot::Snapshot>(read)).c_str() : "whole");
+  return 0;
+}
+
 int run(int argc, char** argv) {
   if (argc == 1) return serve({});  // as the platform starts it
   CLI::App app("A tile server that decides for itself what it takes, runs and turns away.", "granitegap");
@@ -160,11 +172,20 @@
   asking->add_option("ADDRESS", asked, "What its operator's file declares as membership.bind")->required();
   asking->add_flag("--json", json, "One JSON object");
   asking->add_flag("--watch", watch, "Every second, until ended");
+  std::string shown;
+  auto* snapshots =
+      app.add_subcommand("snapshot", "Look at what a process has written down; docs/recovery-operators.md");
+  snapshots->require_subcommand(1);
+  auto* show = snapshots->add_subcommand("show", "What it holds, as one JSON object");
+  auto* verify = snapshots->add_subcommand("verify", "Whether it is whole; exit status 1 if not");
+  for (auto* c : {show, verify})
+    c->add_option("FILE", shown, "learned-a or learned-b in recovery.folder")->required();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : kUnusable;
   }
+  if (*snapshots) return snapshot_file(shown, bool(*show));
   if (*asking) return members(asked, json, watch);
   return *checking ? check(file) : serve(options);
 }
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -106,6 +106,9 @@
   // Whom an earlier look at the fleet has shown: probed like others, and no news to anybody.
   void introduce(const std::vector<Record>& known, TimePoint now);
 
+  // Addresses to call while nobody is there, beside the seeds: of members that an earlier life knew.
+  void also_call(std::vector<Address> addresses) { also_call_ = std::move(addresses); }
+
   // Fresh times and seeds; identity stays.
   void change(const Options& options);
 
@@ -236,6 +239,7 @@
   std::vector<Index> uncounted_;      // joined; in the agreed fleet once most are seen
   std::vector<Index> round_;
   std::size_t round_at_ = 0;
+  std::vector<Address> also_call_;
   TimePoint next_exchange_, last_heal_, refuted_at_, told_at_;
   Index last_heard_ = kNobody;
   bool joined_ = false;  // a full exchange has come in
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -399,6 +399,9 @@
     send(to, Ping{s.nonce, {}, {}}, now, kNobody, kKnock);
     strangers_.push_back(std::move(s));
   };
+  if (alone)
+    for (const auto& a : also_call_)
+      if (a != self_.address) seeds.push_back(a);
   std::shuffle(seeds.begin(), seeds.end(), random_);
   if (alone) {
     for (std::size_t k = 0; k < std::min<std::size_t>(seeds.size(), 3); ++k) knock(seeds[k]);
--- a/src/membership_udp/actor.h
+++ b/src/membership_udp/actor.h
@@ -53,6 +53,7 @@
   bool has_left() const { return !leaving_ || member_.has_left(); }
   boost::asio::ip::udp::endpoint local() const { return socket_.local_endpoint(); }
   const membership::Member& member() const { return member_; }
+  void also_call(std::vector<membership::Address> addresses) { member_.also_call(std::move(addresses)); }
 
  private:
   boost::asio::awaitable<void> receive(boost::asio::ip::udp::socket& socket);
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -56,9 +56,9 @@
     if (const auto* m = top.find("membership")) to.membership = membership(*m);
     if (const auto* r = top.find("recovery")) {
       const auto* folder = r->find("folder");
-      to.recovery =
-          Declared::Recovery{(*r)["after_lost_memory"].as_text() == "wait_out",
-                             folder ? folder->as_text() : std::string(), (*r)["clock_back_most"].as_span()};
+      to.recovery = Declared::Recovery{(*r)["after_lost_memory"].as_text() == "wait_out",
+                                       folder ? folder->as_text() : std::string(),
+                                       (*r)["clock_back_most"].as_span(), (*r)["snapshot_every"].as_span()};
     }
   }
 
--- a/src/operators/operator_file.h
+++ b/src/operators/operator_file.h
@@ -24,7 +24,7 @@
   struct Recovery {
     bool wait_out = true;  // keyed requests, after memory was lost
     std::string folder;    // empty: none
-    Duration clock_back_most{};
+    Duration clock_back_most{}, snapshot_every{};
     bool operator==(const Recovery&) const = default;
   };
   std::optional<Recovery> recovery;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -70,18 +70,37 @@
   clocks_ = std::move(clocks);
   if (!extras_.declared) return;
   if (extras_.declared->membership) join_fleet();
-  if (const auto& r = extras_.declared->recovery; r && r->wait_out && !r->folder.empty())
-    keeper_ = std::make_unique<snapshot::Keeper>(
-        context.get_executor(), r->folder, config_.name,
-        [this](const recovery::EarlierLife& found) {
-          module_.mailbox().post_control(edge::EarlierLifeNews{found});
-        },
-        log_);
+  if (const auto& r = extras_.declared->recovery; r && !r->folder.empty()) keep_learned(*r);
   // Ends of calls always find room: the limits on open calls bound their number.
   caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
 }
 
+void Server::keep_learned(const operators::Declared::Recovery& recovery) {
+  snapshot::Keeper::Hooks hooks;
+  hooks.found = [this](const recovery::EarlierLife& found) {
+    module_.mailbox().post_control(edge::EarlierLifeNews{found});
+  };
+  hooks.learned = [this](learned::Learned what) {
+    if (fleet_) fleet_->also_call(what.members);
+    module_.mailbox().post_control(edge::LearnedNews{std::move(what)});
+  };
+  hooks.collect = [this] {
+    auto what = module_.edge().learned(clocks_().steady);
+    what.by = config_.name;
+    if (!fleet_) return what;
+    const auto& member = fleet_->member();
+    what.life = std::uint64_t(member.self().life);
+    const auto& roster = member.roster();
+    for (membership::Index i = 0; i < roster.places(); ++i)
+      if (const auto& e = roster.at(i); e.known && e.certain == membership::Status::alive)
+        what.members.push_back(e.address);
+    return what;
+  };
+  keeper_ = std::make_unique<snapshot::Keeper>(context_.get_executor(), recovery.folder, config_.name,
+                                               recovery.snapshot_every, std::move(hooks), log_);
+}
+
 // A life of its own at each start: the platform's seed is new then, and the clock tells most lives apart.
 void Server::join_fleet() {
   const auto now = clocks_();
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -53,6 +53,7 @@
   void carry_out(edge::DropCall&& drop);
   boost::asio::awaitable<void> leave();
   void join_fleet();
+  void keep_learned(const operators::Declared::Recovery& recovery);
 
   static edge::Edge make_edge(const config::Config& config, const Extras& extras, TimePoint started);
   static std::size_t sockets_for_peers(const config::Config& config, const Extras& extras);
--- a/src/snapshot/keeper.cpp
+++ b/src/snapshot/keeper.cpp
@@ -1,9 +1,11 @@
 #include "snapshot/keeper.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
 
 namespace granitegap::snapshot {
 namespace {
@@ -16,11 +18,12 @@
 }  // namespace
 
 Keeper::Keeper(const asio::any_io_executor& executor, std::filesystem::path folder, std::string name,
-               Found found, Logger& log)
+               Duration every, Hooks hooks, Logger& log)
     : executor_(executor),
       folder_(std::move(folder)),
       name_(std::move(name)),
-      found_(std::move(found)),
+      every_(every),
+      hooks_(std::move(hooks)),
       log_(log),
       again_(executor) {}
 
@@ -31,25 +34,41 @@
   b.fault = lock_.take(folder_);
   if (b.fault) return b;
   b.ended = read_ended(folder_);
+  b.newest = read_newest(folder_);
   b.at = read_stamp();
   // Damaged or not: whatever is there goes before anything may run that it does not know of.
   if (!std::holds_alternative<Nothing>(b.ended)) b.fault = take_ended(folder_);
   return b;
 }
 
+std::optional<Fault> Keeper::write(learned::Learned what) {
+  return write_snapshot(folder_, encode({read_stamp(), std::move(what)}));
+}
+
 asio::awaitable<void> Keeper::run() {
+  boost::system::error_code woken;
   while (!owned_ && !ending_) {
-    const auto begun = co_await asio::co_spawn(
-        disk_, [this]() -> asio::awaitable<Begun> { co_return begin(); }, asio::use_awaitable);
-    told(begun);
-    if (owned_) co_return;
+    const auto work = [this]() -> asio::awaitable<Begun> { co_return begin(); };
+    auto begun = co_await asio::co_spawn(disk_, work, asio::use_awaitable);
+    told(std::move(begun));
+    if (owned_) break;
     again_.expires_after(kAgain);
-    boost::system::error_code woken;
     co_await again_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
   }
+  // At a bounded rate, and never two at once.
+  while (!ending_) {
+    again_.expires_after(every_);
+    co_await again_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    if (ending_) co_return;
+    // In a name of its own: GCC 12 destroys captures of a temporary in a co_await expression twice.
+    const auto what = std::make_shared<learned::Learned>(hooks_.collect());
+    const auto work = [this, what]() -> asio::awaitable<std::optional<Fault>> { co_return write(*what); };
+    auto fault = co_await asio::co_spawn(disk_, work, asio::use_awaitable);
+    told_write(fault);
+  }
 }
 
-void Keeper::told(const Begun& b) {
+void Keeper::told(Begun b) {
   recovery::EarlierLife found;
   if (b.fault) {
     found.end_stays = true;
@@ -57,25 +76,54 @@
       log_.line("recovery: keyed requests are refused until " + folder_.string() +
                     " can be used: " + b.fault->text(),
                 {{"event", "recovery_folder"}, {"why", b.fault->text()}});
-    return found_(found);
+    return hooks_.found(found);
   }
   owned_ = true;
-  if (const auto* bad = std::get_if<Fault>(&b.ended)) {
-    log_.line("recovery: what the last life left is not believed: " + bad->text(),
-              {{"event", "recovery_unbelieved"}, {"why", bad->text()}});
-  } else if (const auto* ended = std::get_if<Ended>(&b.ended)) {
-    if (ended->name != name_) {
-      log_.line("recovery: what " + ended->name + " left here is not believed",
-                {{"event", "recovery_unbelieved"}, {"why", "another name"}});
-    } else {
-      found = earlier_life(*ended, b.at);
-      if (found.ended_in_order)
-        log_.line("recovery: the last life ended in order " +
-                      std::to_string(found.ended_in_order->count() / 1000) + " ms ago",
-                  {{"event", "recovery_ended"}, {"ago_ms", found.ended_in_order->count() / 1000}});
-    }
+  told_ended(b, found);
+  const auto unbelieved = [&](const std::string& what, const std::string& why) {
+    log_.line("recovery: " + what + " is not believed: " + why,
+              {{"event", "recovery_unbelieved"}, {"why", why}});
+  };
+  for (const auto& bad : b.newest.faults) unbelieved("a snapshot", bad);
+  auto& newest = b.newest.snapshot;
+  if (newest && newest->what.by != name_) {
+    unbelieved("a snapshot", "it is of " + newest->what.by);
+    newest.reset();
+  }
+  if (newest) found.clock_behind = std::max(found.clock_behind, clock_behind(newest->at, b.at));
+  hooks_.found(found);
+  if (!newest) return;
+  const auto age = age_of(newest->at, b.at);
+  log_.line(
+      "recovery: a snapshot, " + (age ? std::to_string(age->count() / 1000) + " ms old" : "of no known age"),
+      {{"event", "recovery_snapshot"}, {"age_ms", age ? std::int64_t(age->count() / 1000) : -1}});
+  hooks_.learned(learned::faded(std::move(newest->what), age));
+}
+
+void Keeper::told_ended(const Begun& b, recovery::EarlierLife& found) {
+  const auto* ended = std::get_if<Ended>(&b.ended);
+  const auto* bad = std::get_if<Fault>(&b.ended);
+  if (bad || (ended && ended->name != name_)) {
+    const auto why = bad ? bad->text() : "it is of " + ended->name;
+    log_.line("recovery: what the last life left is not believed: " + why,
+              {{"event", "recovery_unbelieved"}, {"why", why}});
+    return;
+  }
+  if (!ended) return;
+  found = earlier_life(*ended, b.at);
+  if (found.ended_in_order)
+    log_.line("recovery: the last life ended in order " +
+                  std::to_string(found.ended_in_order->count() / 1000) + " ms ago",
+              {{"event", "recovery_ended"}, {"ago_ms", std::int64_t(found.ended_in_order->count() / 1000)}});
+}
+
+void Keeper::told_write(const std::optional<Fault>& fault) {
+  if (!fault) {
+    told_unwritten_ = false;
+  } else if (!std::exchange(told_unwritten_, true)) {
+    log_.line("recovery: no snapshot can be written: " + fault->text(),
+              {{"event", "recovery_snapshot_unwritten"}, {"why", fault->text()}});
   }
-  found_(found);
 }
 
 void Keeper::end() {
@@ -85,7 +133,8 @@
     done_ = true;
     return;
   }
-  asio::post(disk_, [this] {
+  asio::post(disk_, [this, what = hooks_.collect()]() mutable {
+    write(std::move(what));
     const auto fault = write_ended(folder_, {name_, read_stamp()});
     asio::post(executor_, [this, fault] {
       done_ = true;
--- a/src/snapshot/keeper.h
+++ b/src/snapshot/keeper.h
@@ -1,6 +1,7 @@
 // The actor that keeps what one life leaves to the next: takes the directory at the start, reads what is
-// there, and writes the orderly end. Disk work is done on a thread of its own, started here; serving never
-// waits for it.
+// there, writes down now and then what was learned, and last of all the orderly end. Disk work is done on a
+// thread of its own, started here; serving never waits for it, and a disk that hangs holds up nothing but the
+// next write.
 #pragma once
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,16 +11,20 @@
 #include <string>
 
 #include "log/logger.h"
-#include "snapshot/life_file.h"
+#include "snapshot/snapshot.h"
 
 namespace granitegap::snapshot {
 
 class Keeper {
  public:
-  using Found = std::function<void(const recovery::EarlierLife&)>;
-  // `found` hears what the earlier life left, and again whenever that changes.
+  struct Hooks {  // called on the io thread
+    // Hears what the earlier life left, and again whenever that changes.
+    std::function<void(const recovery::EarlierLife&)> found;
+    std::function<void(learned::Learned)> learned;  // faded by its age
+    std::function<learned::Learned()> collect;      // what is to be written down
+  };
   Keeper(const boost::asio::any_io_executor& executor, std::filesystem::path folder, std::string name,
-         Found found, Logger& log);
+         Duration every, Hooks hooks, Logger& log);
   ~Keeper();
   boost::asio::awaitable<void> run();
   // Nothing runs any more: written down once, and only by whoever owns the directory.
@@ -30,18 +35,25 @@
   struct Begun {
     std::optional<Fault> fault;
     std::variant<Ended, Nothing, Fault> ended = Nothing{};
+    Newest newest;
     Stamp at;
   };
-  Begun begin();  // on the disk's thread
-  void told(const Begun& begun);
+  // On the disk's thread.
+  Begun begin();
+  std::optional<Fault> write(learned::Learned what);
+
+  void told(Begun begun);
+  void told_ended(const Begun& begun, recovery::EarlierLife& found);
+  void told_write(const std::optional<Fault>& fault);
   boost::asio::any_io_executor executor_;
   std::filesystem::path folder_;
   std::string name_;
-  Found found_;
+  Duration every_;
+  Hooks hooks_;
   Logger& log_;
   FolderLock lock_;  // the disk's thread alone
   boost::asio::steady_timer again_;
-  bool owned_ = false, told_fault_ = false, ending_ = false, done_ = false;
+  bool owned_ = false, told_fault_ = false, told_unwritten_ = false, ending_ = false, done_ = false;
   boost::asio::thread_pool disk_{1};  // last: it ends before what it uses
 };
 
--- a/src/snapshot/life_file.cpp
+++ b/src/snapshot/life_file.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr char kMagic[] = "gge1";  // its last character is the format's version
-constexpr char kName[] = "ended", kFresh[] = "ended.new", kLock[] = "lock";
+constexpr char kName[] = "ended", kLock[] = "lock";
 constexpr std::size_t kMost = 512, kMostText = 200;
 
 Fault fault(const char* step) { return {step, std::generic_category().message(errno)}; }
@@ -72,6 +72,10 @@
   return std::nullopt;
 }
 
+bool same_boot(const Stamp& then, const Stamp& now) {
+  return !now.boot.empty() && then.boot == now.boot && now.since_boot >= then.since_boot;
+}
+
 }  // namespace
 
 Stamp read_stamp() {
@@ -113,15 +117,15 @@
   return e;
 }
 
+Duration clock_behind(const Stamp& then, const Stamp& now) {
+  const auto passed = same_boot(then, now) ? (now.since_boot - then.since_boot).count() : 0;
+  return Duration(std::max<std::int64_t>(then.unix_us + passed - now.unix_us, 0));
+}
+
 recovery::EarlierLife earlier_life(const Ended& ended, const Stamp& now) {
   recovery::EarlierLife found;
-  const bool same_boot =
-      !now.boot.empty() && ended.at.boot == now.boot && now.since_boot >= ended.at.since_boot;
-  if (same_boot) found.ended_in_order = now.since_boot - ended.at.since_boot;
-  // Of one boot both clocks are known at both ends, and how far the Unix one was set back; else only what is
-  // seen.
-  const auto then = ended.at.unix_us + (same_boot ? found.ended_in_order->count() : 0);
-  found.clock_behind = Duration(std::max<std::int64_t>(then - now.unix_us, 0));
+  if (same_boot(ended.at, now)) found.ended_in_order = now.since_boot - ended.at.since_boot;
+  found.clock_behind = clock_behind(ended.at, now);
   return found;
 }
 
@@ -144,11 +148,10 @@
   return std::nullopt;
 }
 
-std::variant<Ended, Nothing, Fault> read_ended(const std::filesystem::path& folder) {
-  const File file(folder / kName, O_RDONLY);
-  if (!file && errno == ENOENT) return Nothing{};
+std::variant<std::string, Fault> read_file(const std::filesystem::path& path, std::size_t most) {
+  const File file(path, O_RDONLY);
   if (!file) return fault("opening it");
-  std::string bytes(kMost + 1, '\0');
+  std::string bytes(most, '\0');
   std::size_t have = 0;
   while (have < bytes.size()) {
     const auto got = ::read(file.get(), bytes.data() + have, bytes.size() - have);
@@ -158,15 +161,14 @@
     have += std::size_t(got);
   }
   bytes.resize(have);
-  auto decoded = decode(bytes);
-  if (auto* bad = std::get_if<Fault>(&decoded)) return *bad;
-  return std::get<Ended>(std::move(decoded));
+  return bytes;
 }
 
-std::optional<Fault> write_ended(const std::filesystem::path& folder, const Ended& ended) {
-  const auto bytes = encode(ended);
+std::optional<Fault> replace_file(const std::filesystem::path& folder, const std::string& name,
+                                  const std::string& bytes) {
+  const auto fresh = folder / (name + ".new");
   {
-    const File file(folder / kFresh, O_WRONLY | O_CREAT | O_TRUNC);
+    const File file(fresh, O_WRONLY | O_CREAT | O_TRUNC);
     if (!file) return fault("creating it");
     std::size_t have = 0;
     while (have < bytes.size()) {
@@ -177,10 +179,24 @@
     }
     if (::fsync(file.get()) != 0) return fault("syncing it");
   }
-  if (::rename((folder / kFresh).c_str(), (folder / kName).c_str()) != 0) return fault("renaming it");
+  if (::rename(fresh.c_str(), (folder / name).c_str()) != 0) return fault("renaming it");
   return sync_folder(folder);
 }
 
+std::variant<Ended, Nothing, Fault> read_ended(const std::filesystem::path& folder) {
+  struct stat there {};
+  if (::stat((folder / kName).c_str(), &there) != 0 && errno == ENOENT) return Nothing{};
+  auto bytes = read_file(folder / kName, kMost + 1);
+  if (auto* bad = std::get_if<Fault>(&bytes)) return *bad;
+  auto decoded = decode(std::get<std::string>(bytes));
+  if (auto* bad = std::get_if<Fault>(&decoded)) return *bad;
+  return std::get<Ended>(std::move(decoded));
+}
+
+std::optional<Fault> write_ended(const std::filesystem::path& folder, const Ended& ended) {
+  return replace_file(folder, kName, encode(ended));
+}
+
 std::optional<Fault> take_ended(const std::filesystem::path& folder) {
   if (::unlink((folder / kName).c_str()) != 0 && errno != ENOENT) return fault("taking it away");
   return sync_folder(folder);
--- a/src/snapshot/life_file.h
+++ b/src/snapshot/life_file.h
@@ -40,8 +40,17 @@
 // What the file proves at `now`: the span since the end only by one boot's clock, as a Unix clock may have
 // jumped in between.
 recovery::EarlierLife earlier_life(const Ended& ended, const Stamp& now);
+// How far the Unix clock stands behind what was stamped then: exactly by one boot's clock, else what is seen
+// of it.
+Duration clock_behind(const Stamp& then, const Stamp& now);
+
+// ---- Files ----
+// Up to `most` bytes of it.
+std::variant<std::string, Fault> read_file(const std::filesystem::path& path, std::size_t most);
+// Written aside, synced, renamed, the directory synced: the old one or the new one, whatever happens.
+std::optional<Fault> replace_file(const std::filesystem::path& folder, const std::string& name,
+                                  const std::string& bytes);
 
-// ---- The file ----
 std::variant<Ended, Nothing, Fault> read_ended(const std::filesystem::path& folder);
 // Durable before it returns without a fault.
 std::optional<Fault> write_ended(const std::filesystem::path& folder, const Ended& ended);
--- /dev/null
+++ b/src/snapshot/show.cpp
@@ -0,0 +1,24 @@
+#include "snapshot/show.h"
+
+#include <nlohmann/json.hpp>
+
+#include "membership_udp/codec.h"
+
+namespace granitegap::snapshot {
+
+std::string to_json(const Snapshot& s) {
+  const auto ms = [](Duration d) { return double(d.count()) / 1000; };
+  nlohmann::ordered_json out{{"by", s.what.by}, {"life", s.what.life}, {"unix_ms", s.at.unix_us / 1000}};
+  out["endpoints"] = nlohmann::ordered_json::array();
+  for (const auto& e : s.what.endpoints)
+    out["endpoints"].push_back({{"dependency", e.dependency},
+                                {"address", e.host + ":" + std::to_string(e.port)},
+                                {"out_for_ms", ms(e.out_for)},
+                                {"latency_ms", ms(e.latency)},
+                                {"heard_ago_ms", ms(e.heard_ago)}});
+  out["members"] = nlohmann::ordered_json::array();
+  for (const auto& m : s.what.members) out["members"].push_back(membership_udp::text_of(m));
+  return out.dump();
+}
+
+}  // namespace granitegap::snapshot
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -2,11 +2,12 @@
 // the kernel counts decide, never times.
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
 #include "fleet/runner.h"
-#include "snapshot/life_file.h"
+#include "snapshot/snapshot.h"
 #include "standin/caller.h"
 
 namespace granitegap::fleet {
@@ -194,6 +195,92 @@
   EXPECT_EQ(f.insist(kOther)->code, 0);
 }
 
+std::size_t members_in(const std::filesystem::path& folder) {
+  const auto newest = snapshot::read_newest(folder);
+  return newest.snapshot ? newest.snapshot->what.members.size() : 0;
+}
+
+// The only seed is gone for good: whoever restarts finds the others by what its earlier life knew. Wiped, it
+// is alone.
+TEST(Comeback, ASnapshotFindsTheFleetThatTheSeedsNoLongerDo) {
+  auto o = options("recovery: {folder: \"@FOLDER\", snapshot_every: 100ms}");
+  o.size = 4;
+  o.seeds = 1;
+  Trial f(o);
+  f.start_all();
+  ASSERT_TRUE(f.until([&] { return f.agree(); }, kLong)) << f.state();
+  for (const char* name : {"n2", "n3"})
+    ASSERT_TRUE(f.until([&] { return members_in(f.folder(name)) == 3; }, kLong));
+  f.kill("n0");
+  f.kill("n2");
+  f.kill("n3");
+  f.wipe("n3");
+  f.start("n3");
+  f.start("n2");
+  ASSERT_TRUE(f.until(
+      [&] {
+        return f.holds("n1", "n2") == membership::Status::alive &&
+               f.holds("n2", "n1") == membership::Status::alive;
+      },
+      kLong))
+      << f.state();
+  EXPECT_TRUE(f.says("recovery: a snapshot", "n2"));
+  EXPECT_FALSE(f.says("recovery: a snapshot", "n3"));
+}
+
+// An hour-old word that an endpoint is out is not acted on; a fresh one is.
+TEST(Comeback, AnOldSnapshotDecidesNothing) {
+  for (const bool old : {true, false}) {
+    auto o = options("recovery: {folder: \"@FOLDER\", snapshot_every: 100ms}");
+    o.operator_file =
+        "dependencies: [{name: \"e.example.org\", endpoints: [\"127.0.0.1:9\", \"127.0.0.1:10\"]}]\ngathers: "
+        "[]\n"
+        "recovery: {folder: \"@FOLDER\"}\n";
+    Trial f(o);
+    std::filesystem::create_directories(f.folder("n0"));
+    snapshot::Snapshot s;
+    s.at = snapshot::read_stamp();
+    if (old) s.at.since_boot -= 1h, s.at.unix_us -= 3'600'000'000, s.at.boot = "another";
+    s.what.by = "n0";
+    s.what.endpoints = {{"e.example.org", "127.0.0.1", 9, 30s, 2, 80ms, 0s}};
+    ASSERT_FALSE(snapshot::write_snapshot(f.folder("n0"), snapshot::encode(s)));
+    f.up();
+    EXPECT_TRUE(f.until([&] { return f.says("recovery: a snapshot"); }, kLong));
+    EXPECT_TRUE(f.answers("n0"));
+    EXPECT_EQ(f.says("learned of 1 endpoints"), !old) << f.log("n0");
+  }
+}
+
+TEST(Comeback, ADamagedSnapshotCostsOnlyWarmth) {
+  Trial f(options("recovery: {folder: \"@FOLDER\", snapshot_every: 100ms}"));
+  std::filesystem::create_directories(f.folder("n0"));
+  std::ofstream(f.folder("n0") / "learned-a") << "ggl1 and then nothing that makes sense";
+  std::filesystem::create_directory(f.folder("n0") / "learned-b");  // can be neither read nor replaced
+  f.up();
+  EXPECT_TRUE(f.until([&] { return f.says("a snapshot is not believed: learned-a"); }, kLong));
+  EXPECT_TRUE(f.answers("n0"));
+  EXPECT_EQ(f.insist(kToken)->code, 0);
+}
+
+// The commands: what a snapshot holds, and whether it is whole.
+TEST(Comeback, TheSnapshotCommandShowsAndVerifies) {
+  Trial f(options("recovery: {folder: \"@FOLDER\", snapshot_every: 100ms}"));
+  f.up();
+  ASSERT_TRUE(f.until([&] { return std::filesystem::exists(f.folder("n0") / "learned-a"); }, kLong));
+  f.kill("n0");
+  const auto file = f.folder("n0") / "learned-a";
+  const auto run = [&](const std::string& words) {
+    return WEXITSTATUS(std::system(
+        (std::string(PROGRAM) + " snapshot " + words + " " + file.string() + " > /dev/null 2>&1").c_str()));
+  };
+  EXPECT_EQ(run("verify"), 0);
+  EXPECT_EQ(run("show"), 0);
+  std::filesystem::resize_file(file, 15);
+  EXPECT_EQ(run("verify"), 1);
+  EXPECT_EQ(run("show"), 1);
+  EXPECT_EQ(run("guess"), 2);
+}
+
 // A predecessor that still drains holds the directory: the successor starts, serves reads, and takes it over.
 TEST(Comeback, ASuccessorWaitsForThePredecessorsFolder) {
   auto o = options(kFolder);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -5,8 +5,10 @@
 
 #include <fstream>
 
+#include "deps/gatherer.h"
 #include "recovery/lost_memory.h"
 #include "snapshot/life_file.h"
+#include "snapshot/snapshot.h"
 
 namespace granitegap {
 namespace {
@@ -158,5 +160,174 @@
   EXPECT_FALSE(first.take(f.path / "state"));
 }
 
+// ---- What was learned ----
+
+learned::Learned some() {
+  learned::Learned what;
+  what.by = "n1";
+  what.life = 7;
+  what.endpoints = {{"e.example.org", "127.0.0.1", 9001, 5s, 2, 80ms, 1s},
+                    {"e.example.org", "127.0.0.1", 9002, 0s, 0, 3ms, 1s}};
+  membership::Address a;
+  a.ip = {127, 0, 0, 1};
+  a.port = 9101;
+  what.members = {a};
+  return what;
+}
+
+Snapshot snapshot_of(const std::string& boot, Duration since_boot, std::int64_t unix_us,
+                     learned::Learned what) {
+  Snapshot s;
+  s.at.boot = boot;
+  s.at.since_boot = since_boot;
+  s.at.unix_us = unix_us;
+  s.what = std::move(what);
+  return s;
+}
+
+TEST(Snapshot, IsReadAsItWasWrittenAndDamageOfAnyByteIsNoticed) {
+  const auto made = snapshot_of("boot", 5s, 77, some());
+  const auto whole = encode(made);
+  const auto back = decode_snapshot(whole);
+  ASSERT_TRUE(std::holds_alternative<Snapshot>(back));
+  EXPECT_EQ(std::get<Snapshot>(back).what, some());
+  EXPECT_EQ(std::get<Snapshot>(back).at.unix_us, 77);
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    EXPECT_TRUE(std::holds_alternative<Fault>(decode_snapshot(whole.substr(0, n)))) << n;
+    for (int bit = 0; bit < 8; ++bit) {
+      auto flipped = whole;
+      flipped[n] = char(flipped[n] ^ (1 << bit));
+      EXPECT_TRUE(std::holds_alternative<Fault>(decode_snapshot(flipped))) << n;
+    }
+  }
+  auto version = whole;
+  version[3] = '9';
+  EXPECT_EQ(std::get<Fault>(decode_snapshot(version)).why, "of another version");
+  EXPECT_TRUE(std::holds_alternative<Fault>(decode_snapshot(std::string(kMostSnapshot + 1, 'g'))));
+}
+
+TEST(Snapshot, TheLargestThatCanBeLearnedStaysWithinItsBound) {
+  learned::Learned what;
+  for (std::size_t n = 0; n < 5000; ++n) {
+    what.endpoints.push_back({std::string(253, 'd'), "2001:db8:ffff:ffff:ffff:ffff:ffff:ffff",
+                              std::uint16_t(1 + n), 30s, 9, 1s, 1s});
+    membership::Address a;
+    a.v6 = true;
+    a.port = std::uint16_t(1 + n);
+    what.members.push_back(a);
+  }
+  const auto made = snapshot_of(std::string(36, 'b'), 5s, 77, what);
+  const auto bytes = encode(made);
+  EXPECT_LE(bytes.size(), kMostSnapshot);
+  ASSERT_TRUE(std::holds_alternative<Snapshot>(decode_snapshot(bytes)));
+  EXPECT_EQ(std::get<Snapshot>(decode_snapshot(bytes)).what.members.size(), learned::kMostMembers);
+}
+
+TEST(Snapshot, TheNewerWholeOneOfTwoCounts) {
+  Folder f;
+  EXPECT_FALSE(read_newest(f.path).snapshot);
+  EXPECT_TRUE(read_newest(f.path).faults.empty());
+  for (int n = 1; n <= 3; ++n) {
+    auto what = some();
+    what.life = std::uint64_t(n);
+    const auto made = snapshot_of("boot", Duration(n), n, what);
+    EXPECT_FALSE(write_snapshot(f.path, encode(made)));
+    EXPECT_EQ(read_newest(f.path).snapshot->what.life, std::uint64_t(n));
+  }
+  // The newest is damaged: the one before it counts, and what is wrong is named.
+  for (const char* name : {"learned-a", "learned-b"}) {
+    const auto read = read_snapshot_file(f.path / name);
+    if (std::get<Snapshot>(read).what.life == 3) std::filesystem::resize_file(f.path / name, 20);
+  }
+  const auto newest = read_newest(f.path);
+  EXPECT_EQ(newest.snapshot->what.life, 2u);
+  EXPECT_EQ(newest.faults.size(), 1u);
+  EXPECT_EQ(write_snapshot(f.path / "none", "x")->step, "creating it");
+}
+
+TEST(Snapshot, ItsAgeIsKnownByOneBootOrAUnixClockThatDoesNotStandBehind) {
+  const Stamp then{"boot", 100s, 1'000'000'000};
+  EXPECT_EQ(age_of(then, {"boot", 104s, 5}), 4s);
+  EXPECT_EQ(age_of(then, {"other", 1s, 1'060'000'000}), 60s);
+  EXPECT_FALSE(age_of(then, {"other", 1s, 999'999'999}));
+}
+
+TEST(Learned, FadesByKindAndAnUnknownAgeIsTooOld) {
+  const auto soon = learned::faded(some(), 2s);
+  EXPECT_EQ(soon.endpoints[0].out_for, 3s);
+  EXPECT_EQ(soon.endpoints[0].heard_ago, 3s);
+  EXPECT_EQ(learned::faded(some(), 10s).endpoints[0].out_for, 0s);
+  EXPECT_TRUE(learned::faded(some(), 1h).endpoints.empty());
+  EXPECT_EQ(learned::faded(some(), 1h).members.size(), 1u);
+  EXPECT_TRUE(learned::faded(some(), 25h).members.empty());
+  EXPECT_TRUE(learned::faded(some(), std::nullopt).endpoints.empty());
+  EXPECT_EQ(learned::faded(some(), std::nullopt).members.size(), 1u);
+}
+
+// ---- Endpoints that an earlier life knew ----
+
+deps::DependencySpec two_endpoints() {
+  deps::DependencySpec d;
+  d.name = "e.example.org";
+  d.endpoints = {{"127.0.0.1", 9001}, {"127.0.0.1", 9002}};
+  return d;
+}
+
+// How often the first of two is chosen.
+int chosen(deps::EndpointSet& set, TimePoint now) {
+  int first = 0;
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> roll(0, 1);
+  for (int k = 0; k < 100; ++k) first += set.pick(now, roll(random), roll(random)) == 0u;
+  return first;
+}
+
+TEST(LearnedEndpoints, AnEjectedOneIsLeftAloneForTheRestOfItsTimeAndNoLonger) {
+  const TimePoint now(1000s);
+  deps::EndpointSet before(two_endpoints());
+  for (int k = 0; k < 5; ++k) {
+    before.started(0);
+    before.failed(0, now);
+  }
+  const auto known = before.known(0, now);
+  ASSERT_TRUE(known);
+  EXPECT_GT(known->out_for, 0s);
+  deps::EndpointSet blind(two_endpoints()), told(two_endpoints()), late(two_endpoints());
+  EXPECT_TRUE(told.learn(0, *known, now));
+  EXPECT_GT(chosen(blind, now), 20);
+  EXPECT_EQ(chosen(told, now), 0);
+  EXPECT_EQ(told.pick(now + known->out_for, 0.5, 0.5), 0u);  // its time is over: one call through
+  auto old = *known;
+  old.out_for = {};
+  EXPECT_TRUE(late.learn(0, old, now));
+  EXPECT_GT(chosen(late, now), 0);
+}
+
+TEST(LearnedEndpoints, OwnEvidenceOverrulesWhatWasLearned) {
+  const TimePoint now(1000s);
+  deps::EndpointSet set(two_endpoints());
+  set.started(0);
+  set.succeeded(0, 1ms, now);
+  EXPECT_FALSE(set.learn(0, {10s, 1s, 0s, 3}, now));
+  EXPECT_FALSE(set.ejected(0));
+}
+
+TEST(LearnedEndpoints, NeverMoreAreLeftAloneThanMayBeEjected) {
+  const TimePoint now(1000s);
+  deps::EndpointSet set(two_endpoints());
+  EXPECT_TRUE(set.learn(0, {10s, 1s, 0s, 3}, now));
+  EXPECT_TRUE(set.learn(1, {10s, 1s, 0s, 3}, now));
+  EXPECT_EQ(set.count_out(), 1u);
+}
+
+TEST(LearnedEndpoints, ASlowOneIsAvoidedAtOnce) {
+  const TimePoint now(1000s);
+  deps::EndpointSet blind(two_endpoints()), told(two_endpoints());
+  EXPECT_TRUE(told.learn(0, {0s, 800ms, 100ms, 0}, now));
+  EXPECT_TRUE(told.learn(1, {0s, 5ms, 100ms, 0}, now));
+  EXPECT_GT(chosen(blind, now), 20);
+  EXPECT_EQ(chosen(told, now), 0);
+}
+
 }  // namespace
 }  // namespace granitegap
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -33,11 +33,11 @@
    {"name":"trail-report","aim_ms":1200.0,"deadline_ms":3000.0,"effect":"dedup","late_worth":0.2,
     "repeat_window_ms":@WINDOW,"worth":5.0}],
   "orgs":[{"name":"turistaterkep","allowance_per_s":54.0,"share":1.0}],
-  "limits":{"max_retry_after_ms":1000.0,"retry_after":true},
-  "rules":{"answer_slack_ms":100.0,"cold_from":0.2,"cold_ms":18000.0,"drain_grace_ms":2000.0,
+  "limits":{"max_retry_after_ms":@BACKOFF,"retry_after":true},
+  "rules":{"answer_slack_ms":100.0,"cold_from":0.2,"cold_ms":@COLD,"drain_grace_ms":2000.0,
            "fall_ms":1500.0,"overload_factor":8.0},
   "servers":1,"tick_ms":2.0,"worth_by":"work",
-  "specifics":{"cpus":2,"upstreams":3,"run_factor":8.0,"memory_kb":49134.0,"key_kb":205.58,"halt":"pause",
+  "specifics":{"cpus":@CORES,"upstreams":3,"run_factor":8.0,"memory_kb":49134.0,"key_kb":205.58,"halt":"pause",
    "say":"tokens","deep_checks":true,"heeded_ms":1000.0,"downstream":"none","passes_deadline":false,
    "tells_gone":false,"cold":false,"gauges":["core_use","on_cores","heap_share","links"]}}})json";
 
@@ -145,7 +145,7 @@
     p.second = hold_port(io_, asio::ip::address_v6::loopback(), number).local_endpoint();
   }
   const auto cost = options_.run_cost;
-  p.kernel = std::make_unique<standin::Kernel>(io_, 2, [cost](auto&, auto&) { return cost; });
+  p.kernel = std::make_unique<standin::Kernel>(io_, options_.cores, [cost](auto&, auto&) { return cost; });
   p.folder = folder_ / alias;
   std::filesystem::create_directory(p.folder);
   if (seeds_.size() < options_.seeds) seeds_.push_back(text_of(p.advertised));
@@ -179,6 +179,9 @@
   auto platform = with(kPlatform, "@NAME", p.name);
   platform = with(platform, "@KERNEL", std::to_string(p.kernel->port()));
   platform = with(platform, "@LIST", std::to_string(list_.local_endpoint().port()));
+  platform = with(platform, "@COLD", std::to_string(options_.cold_ms));
+  platform = with(platform, "@BACKOFF", std::to_string(options_.max_backoff_ms));
+  platform = with(platform, "@CORES", std::to_string(options_.cores));
   platform = with(platform, "@WINDOW", std::to_string(options_.repeat_window.count() / 1000) + ".0");
   std::ostringstream seed;  // new with each start, as the platform's is
   seed << std::hex << (options_.seed * 1000003 + std::hash<std::string>()(p.alias) + std::uint64_t(number));
@@ -188,7 +191,8 @@
   const auto config = "EDGE_CONFIG=" + (p.folder / "config.json").string();
   const auto declared = (p.folder / "operator.cue").string();
   const auto log = (p.folder / "log").string();
-  std::vector<std::string> words{options_.program, "serve", "--operator", declared};
+  std::vector<std::string> words{options_.program, "serve"};
+  if (options_.declared) words.insert(words.end(), {"--operator", declared});
   if (options_.plain) words.push_back("--plain-membership");
   std::vector<char*> argv;
   for (auto& w : words) argv.push_back(w.data());
@@ -251,6 +255,10 @@
   ::kill(p.pid, SIGKILL);
   reap(p, true);
 }
+void Fleet::wipe(const std::string& name) {
+  std::error_code ignored;
+  std::filesystem::remove_all(folder(name), ignored);
+}
 void Fleet::end(const std::string& name) {
   if (auto& p = at(name); p.pid && !p.status) ::kill(p.pid, SIGTERM);
 }
@@ -379,6 +387,12 @@
 std::map<std::pair<std::string, std::string>, int> Fleet::runs(const std::string& name) const {
   return on_io([&] { return at(name).kernel->runs(); });
 }
+void Fleet::set_pace(const std::string& name, standin::Kernel::Pace pace) {
+  on_io([&] { at(name).kernel->set_pace(pace); });
+}
+void Fleet::reboot_kernel(const std::string& name) {
+  on_io([&] { at(name).kernel->reboot(); });
+}
 void Fleet::tell_old_ends(const std::string& name) {
   on_io([&] { at(name).kernel->tell_old_ends(); });
 }
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -35,11 +35,15 @@
   std::uint64_t seed = 1;
   std::string membership;  // further fields of the record, such as "period: 200ms"
   std::string operator_file = "dependencies: []\ngathers: []\n";  // the rest of it
+  bool declared = true;                                      // false: no operator file, as on the platform
   bool plain = false;                                        // membership's plain policy, to measure against
   Duration repeat_window = std::chrono::milliseconds(8949);  // of keyed requests
   bool second_paths = false;                                 // IPv6 on loopback, past the stand-in network
   std::string clock_library;  // path of granitegap_clock_shift, for shift_clock()
   Duration run_cost = std::chrono::milliseconds(20);
+  int cores = 2;           // of each stand-in kernel
+  double cold_ms = 18000;  // the platform's word for how long a machine warms up
+  double max_backoff_ms = 1000;
 };
 
 class Fleet {
@@ -59,6 +63,8 @@
   std::optional<int> status(const std::string& name) const;  // of one that ended: its exit status, or -signal
   void pause(const std::string& name);
   void resume(const std::string& name);
+  // What its lives leave to each other on disk is gone.
+  void wipe(const std::string& name);
   // The calendar clock of its next lives is off by so much.
   void shift_clock(const std::string& name, std::chrono::milliseconds by) { at(name).clock_shift = by; }
   // Its operator's file with these seeds and further fields, taken over by SIGHUP.
@@ -96,6 +102,8 @@
   // are told.
   std::map<std::pair<std::string, std::string>, int> runs(const std::string& name) const;
   void tell_old_ends(const std::string& name);
+  void set_pace(const std::string& name, standin::Kernel::Pace pace);
+  void reboot_kernel(const std::string& name);  // with its machine: cold, and nothing runs
   std::filesystem::path folder(const std::string& name) const { return at(name).folder / "state"; }
   standin::Weather::Seen seen() const;
 
--- a/tools/standin/kernel.cpp
+++ b/tools/standin/kernel.cpp
@@ -76,6 +76,25 @@
   if (linked_) say(history_.back().second);
 }
 
+double Kernel::speed(std::chrono::steady_clock::time_point now) const {
+  double part = 1;
+  if (booted_ && pace_.warm_up.count() > 0)
+    part = std::min(
+        1.0, std::chrono::duration<double>(now - *booted_) / std::chrono::duration<double>(pace_.warm_up));
+  const double warm = pace_.cold_from + (1 - pace_.cold_from) * part;
+  const double most = pace_.crowd * cores_;
+  return warm * (double(running_.size()) > most ? most / double(running_.size()) : 1);
+}
+
+void Kernel::reboot() {
+  booted_ = std::chrono::steady_clock::now();
+  running_.clear();
+  paused_.clear();
+  history_.clear();
+  boost::system::error_code ignored;
+  link_.close(ignored);
+}
+
 void Kernel::open(std::uint64_t last) {
   if (last == 0) {  // a new start of the program
     for (const auto& [number, text] : history_)
@@ -85,7 +104,12 @@
     for (const auto& [rid, run] : running_) old_.insert(rid);
     for (const auto& [rid, run] : paused_) old_.insert(rid);
   }
-  say("BOOTED WARM 60000\r\n");
+  const auto ago =
+      booted_
+          ? std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - *booted_)
+                .count()
+          : 60000;
+  say(std::string("BOOTED ") + (booted_ ? "COLD " : "WARM ") + std::to_string(ago) + "\r\n");
   for (const auto& [number, text] : history_)
     if (number > last) say(text);
 }
@@ -143,7 +167,7 @@
     then = now;
     const double busy = std::min<double>(cores_, double(running_.size()));
     use_ += kUseGain * (busy / cores_ - use_);
-    const double share = running_.empty() ? 0 : passed * busy / double(running_.size());
+    const double share = running_.empty() ? 0 : passed * busy * speed(now) / double(running_.size());
     for (auto it = running_.begin(); it != running_.end();) {
       it->second.left_us -= share;
       if (it->second.left_us > 0) {
--- a/tools/standin/kernel.h
+++ b/tools/standin/kernel.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,16 @@
   std::uint16_t port() const { return door_.local_endpoint().port(); }
   // Runs of each (class, body): more than one of a keyed request is a double run.
   const std::map<std::pair<std::string, std::string>, int>& runs() const { return runs_; }
+  // How a machine is slow: `cold_from` of its speed at its boot, evenly up to all of it within `warm_up`; and
+  // past `crowd` runs a core each further one costs the others as much as it gets.
+  struct Pace {
+    double cold_from = 1;
+    Duration warm_up{};
+    double crowd = 1e9;
+  };
+  void set_pace(Pace pace) { pace_ = pace; }
+  // The machine starts anew: what ran is gone, the cores are cold.
+  void reboot();
   // On the next links: the ends of an earlier life's runs, before BOOTED and under its high numbers.
   void tell_old_ends() { tells_old_ = true; }
 
@@ -50,6 +61,9 @@
   std::string out_;
   bool writing_ = false;
   std::uint64_t number_ = 0;
+  double speed(std::chrono::steady_clock::time_point now) const;
+  Pace pace_;
+  std::optional<std::chrono::steady_clock::time_point> booted_;  // none: long ago
   bool tells_old_ = false;
   std::set<std::string> old_;                                   // begun for an earlier start of the program
   std::vector<std::pair<std::uint64_t, std::string>> history_;  // notices of this start
