A bench of a mass restart: real processes, cold kernels and a crowd of callers

Need: no measure of coming back. Change: granitegap_bench_comeback kills and restarts a share of the fleet with its kernels under callers of three habits (tools/fleet/crowd) and follows worth by second; the stand-in kernel warms up and slows in a crowd. The membership bench no longer excuses for good whoever was paused once, which after 120 s was everybody.

--- /dev/null
+++ b/bench/comeback.cpp
@@ -0,0 +1,255 @@
+// How a fleet of real processes comes back after most of them have restarted at once, under callers of
+// several habits, on stand-in kernels that restart cold with them.
+//
+//   granitegap_bench_comeback [--scenario FILE] [--seed N] [--size N] [--program PATH]
+//
+// Scenarios are records (bench/scenarios/comeback_*.cue; schema: bench/comeback.schema.cue). Each is played
+// on the same arrivals by `guided` (membership and recovery declared, with a directory) and `plain`
+// (neither). The last line is one JSON object.
+//
+// `full_service_s`: from the restart to the first of three seconds in a row, by when requests were first
+// wanted, whose worth is 0.95 of the mean before; -1: never. `floor_s`: the same if kernels' own warm-up were
+// the only limit. `worth_lost`: against the mean before, in seconds of it. `survivor_worth`: what those not
+// restarted served in the ten seconds after, of what they had served a second before. `double_runs`: of one
+// keyed request on one kernel. `unserved`: first tries that nobody served by their deadline; `late`: served
+// past their aim.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "comeback_schema.h"
+#include "fleet/crowd.h"
+#include "fleet/runner.h"
+#include "records/records.h"
+
+namespace granitegap::bench {
+namespace {
+
+using fleet::Crowd;
+using fleet::Fleet;
+using Json = nlohmann::ordered_json;
+using namespace std::chrono_literals;
+
+struct Scenario {
+  std::string name;
+  Duration before{}, after{}, cost{}, warm_up{};
+  double share = 0.8, load = 0.8, cold_from = 0.2, crowd = 8;
+  bool wipe = false, kernels_too = true;
+  std::array<double, fleet::kHabits> habits{};
+};
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+double resident_mb(int pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+  return 0;
+}
+
+// When the kernels alone would carry 0.95 of the load again.
+double floor_of(const Scenario& s, std::size_t size, std::size_t struck) {
+  for (double t = 0; t < seconds(s.after); t += 0.1) {
+    const double warm =
+        s.kernels_too ? s.cold_from + (1 - s.cold_from) * std::min(1.0, t / seconds(s.warm_up)) : 1;
+    if (double(size - struck) + double(struck) * warm >= 0.95 * s.load * double(size)) return t;
+  }
+  return -1;
+}
+
+Json play(const Scenario& s, const std::string& program, bool guided, std::uint64_t seed, std::size_t size) {
+  fleet::Options o;
+  o.program = program;
+  o.size = size;
+  o.seed = seed;
+  o.cores = 1;
+  o.run_cost = s.cost;
+  o.cold_ms = seconds(s.warm_up) * 1000;
+  o.operator_file = "dependencies: []\ngathers: []\n";
+  if (guided) o.operator_file += "recovery: {folder: \"@FOLDER\", snapshot_every: 1s}\n";
+  o.declared = guided;
+  Fleet f(o);
+  std::vector<std::string> names;
+  for (const auto& n : f.names()) names.push_back(n);
+  for (const auto& n : names) f.set_pace(n, {s.cold_from, s.warm_up, s.crowd});
+  f.start_all();
+  const auto all_up = [&] {
+    return std::all_of(names.begin(), names.end(), [&](auto& n) { return f.port(n) != 0; });
+  };
+  if (!f.until(all_up, 60s)) throw std::runtime_error("not all came up:\n" + f.state());
+  if (guided) f.until([&] { return f.agree(); }, 60s);
+  std::this_thread::sleep_for(1s);
+
+  fleet::CrowdOptions c;
+  c.seed = seed;
+  c.rate = s.load * double(size) / seconds(s.cost);
+  c.proxies = 16;
+  c.habits = s.habits;
+  c.classes = {{"tile", 0.6, 1, 0.2, 1900ms, 4900ms, false},
+               {"route-profile", 0.3, 2, 0, 1900ms, 4900ms, false},
+               {"trail-report", 0.1, 5, 0.2, 1200ms, 3000ms, true}};
+  // Where each serves; looked up once a life, as a list would tell it.
+  std::mutex mutex;
+  std::vector<std::uint16_t> ports;
+  for (const auto& n : names) ports.push_back(f.port(n));
+  Crowd crowd(c, size, [&](std::size_t n) {
+    const std::lock_guard lock(mutex);
+    return ports[n];
+  });
+  const auto wait_until = [&](Duration t) {
+    if (const auto left = t - crowd.elapsed(); left.count() > 0) std::this_thread::sleep_for(left);
+  };
+  wait_until(s.before);
+  std::mt19937_64 random(seed);
+  std::vector<std::size_t> order(size);
+  for (std::size_t n = 0; n < size; ++n) order[n] = n;
+  std::shuffle(order.begin(), order.end(), random);
+  const auto struck = std::size_t(std::lround(s.share * double(size)));
+  std::set<std::size_t> who(order.begin(), order.begin() + std::ptrdiff_t(struck));
+  const auto hit = crowd.elapsed();
+  for (const auto n : who) {
+    f.kill(names[n]);
+    const std::lock_guard lock(mutex);
+    ports[n] = 0;
+  }
+  for (const auto n : who) {
+    if (s.wipe) f.wipe(names[n]);
+    if (s.kernels_too) f.reboot_kernel(names[n]);
+    f.start(names[n]);
+  }
+  // The list learns where they are as they come up.
+  const auto all_back = [&] {
+    bool all = true;
+    for (const auto n : who) {
+      const auto p = f.port(names[n]);
+      const std::lock_guard lock(mutex);
+      ports[n] = p;
+      all = all && p;
+    }
+    return all;
+  };
+  if (!f.until(all_back, 60s)) throw std::runtime_error("not all came back:\n" + f.state());
+  const double up_s = seconds(crowd.elapsed() - hit);
+  wait_until(hit + s.after);
+  const auto end = crowd.elapsed();
+  crowd.stop();
+
+  const auto fates = crowd.fates({}, end);
+  std::vector<double> worth(std::size_t(seconds(end)) + 1);
+  const auto from = std::size_t(2);  // the first two seconds are the crowd's own start
+  const auto at = std::size_t(std::ceil(seconds(hit)));
+  std::uint64_t refused = 0, retries = 0, unserved = 0, late = 0;
+  double survivors_before = 0, survivors_after = 0;
+  for (const auto& fate : fates) {
+    const auto& cls = c.classes[fate.cls];
+    const auto second = std::size_t(seconds(fate.wanted));
+    const double w = worth_of(fate, cls);
+    worth[second] += w;
+    if (fate.served && !who.contains(fate.server)) {
+      if (second >= from && fate.wanted < hit) survivors_before += w / double(at - from);
+      if (fate.wanted >= hit && fate.wanted < hit + 10s) survivors_after += w / 10;
+    }
+    if (fate.wanted < hit) continue;
+    refused += fate.refused;
+    retries += fate.tries > 0 ? fate.tries - 1 : 0;
+    unserved += !fate.served;
+    late += fate.served && fate.took > cls.aim;
+  }
+  double mean = 0;
+  for (std::size_t k = from; k + 1 < at; ++k) mean += worth[k] / double(at - 1 - from);
+  double full = -1, lost = 0;
+  const auto last = std::size_t(seconds(end));
+  for (std::size_t k = at; k + 3 <= last && full < 0; ++k)
+    if (worth[k] >= 0.95 * mean && worth[k + 1] >= 0.95 * mean && worth[k + 2] >= 0.95 * mean)
+      full = double(k) - seconds(hit);
+  for (std::size_t k = std::size_t(seconds(hit)); k < last; ++k) lost += std::max(0.0, 1 - worth[k] / mean);
+  int double_runs = 0;
+  double rss = 0;
+  for (const auto& n : names) {
+    for (const auto& [what, count] : f.runs(n))
+      if (what.first == "trail-report" && count > 1) double_runs += count - 1;
+    rss = std::max(rss, resident_mb(f.pid(n)));
+  }
+  // Who served in the last ten seconds: a server that is up and serves nothing is no part of the fleet.
+  std::vector<int> last_served(size);
+  for (const auto& fate : fates)
+    if (fate.served && fate.wanted >= end - 10s) ++last_served[fate.server];
+  Json series = Json::array();
+  for (std::size_t k = from; k < last; ++k) series.push_back(std::round(worth[k] / mean * 1000) / 1000);
+  return Json{{"full_service_s", full},
+              {"floor_s", floor_of(s, size, struck)},
+              {"up_s", up_s},
+              {"worth_lost", lost},
+              {"survivor_worth", survivors_before > 0 ? survivors_after / survivors_before : -1},
+              {"refused", refused},
+              {"retries", retries},
+              {"double_runs", double_runs},
+              {"unserved", unserved},
+              {"late", late},
+              {"rss_mb", rss},
+              {"hit_s", seconds(hit)},
+              {"from_s", from},
+              {"served_last_10s", last_served},
+              {"worth", series}};
+}
+
+std::variant<Scenario, std::vector<records::Error>> read(const std::string& path) {
+  const auto document = records::load(path);
+  if (const auto* error = std::get_if<records::Error>(&document)) return std::vector{*error};
+  static const auto schema =
+      std::get<records::Document>(records::parse(kComebackSchema, "comeback.schema.cue"));
+  auto checked = records::validate(std::get<records::Document>(document), schema, "#Scenario");
+  if (auto* errors = std::get_if<std::vector<records::Error>>(&checked)) return std::move(*errors);
+  const auto& v = std::get<records::Value>(checked);
+  Scenario s;
+  s.name = v["name"].as_text();
+  s.before = v["before"].as_span();
+  s.after = v["after"].as_span();
+  s.cost = v["cost"].as_span();
+  s.warm_up = v["warm_up"].as_span();
+  s.share = v["share"].as_number();
+  s.load = v["load"].as_number();
+  s.cold_from = v["cold_from"].as_number();
+  s.crowd = v["crowd"].as_number();
+  s.wipe = v["wipe"].as_bool();
+  s.kernels_too = v["kernels_too"].as_bool();
+  s.habits = {v["heeding"].as_number(), v["tireless"].as_number(), v["sticky"].as_number()};
+  return s;
+}
+
+}  // namespace
+}  // namespace granitegap::bench
+
+int main(int argc, char** argv) {
+  using namespace granitegap::bench;
+  CLI::App app("Coming back after a mass restart.", "granitegap_bench_comeback");
+  std::string file = SCENARIOS "/comeback_most.cue", program = PROGRAM;
+  std::uint64_t seed = 1;
+  std::size_t size = 24;
+  bool only_plain = false;
+  app.add_option("--scenario", file, "A record; bench/comeback.schema.cue");
+  app.add_option("--seed", seed, "For arrivals and who is struck");
+  app.add_option("--size", size, "Processes")->check(CLI::Range(2, 200));
+  app.add_option("--program", program, "granitegap");
+  app.add_flag("--only-plain", only_plain, "Leave the guided policy out");
+  CLI11_PARSE(app, argc, argv);
+  const auto scenario = read(file);
+  if (const auto* errors = std::get_if<std::vector<granitegap::records::Error>>(&scenario)) {
+    for (const auto& e : *errors) std::fprintf(stderr, "%s\n", e.text().c_str());
+    return 2;
+  }
+  const auto& s = std::get<Scenario>(scenario);
+  try {
+    Json out{{"scenario", s.name}, {"seed", seed}, {"size", size}};
+    if (!only_plain) out["guided"] = play(s, program, true, seed, size);
+    out["plain"] = play(s, program, false, seed, size);
+    std::printf("%s\n", out.dump().c_str());
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "granitegap_bench_comeback: %s\n", e.what());
+    return 1;
+  }
+}
--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -8,9 +8,9 @@
 // process itself says, so that the asking adds nothing to a time. The last line is one JSON object.
 //
 // `false_dead`: pairs in which a process was held dead that lived and was neither paused nor cut off, each
-// once a time; `flaps`: the same with suspect. `detect_*`: from the kill or cut to when each of the others no
-// longer held it alive; `agree_ms`: until all held it dead. `rejoin_ms`: from the mend or wake to one view of
-// all.
+// once a time, where a paused one counts again eight seconds after it woke; `flaps`: the same with suspect.
+// `detect_*`: from the kill or cut to when each of the others no longer held it alive; `agree_ms`: until all
+// held it dead. `rejoin_ms`: from the mend or wake to one view of all.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
@@ -138,7 +138,9 @@
   Clock::time_point deed{}, mend{};
   Fleet::Cut cut = 0;
   std::map<std::string, Clock::time_point> paused_until;
-  std::set<std::string> ever_paused;
+  // Whoever was paused is rightly doubted, and for a while after.
+  std::map<std::string, Clock::time_point> woken;
+  constexpr auto kForgiven = 8s;
   auto next_pause = began;
   const auto length = Clock::now() + s.length;
   while (Clock::now() < length || (mended && rejoin_ms < 0 && Clock::now() < length + 30s)) {
@@ -163,6 +165,7 @@
           continue;
         }
         f.resume(it->first);
+        woken[it->first] = now;
         it = paused_until.erase(it);
       }
       // `count` of them paused at any time, begun at moments drawn by the seed.
@@ -171,7 +174,6 @@
         if (!paused_until.contains(n)) {
           f.pause(n);
           paused_until[n] = now + s.deed_for;
-          ever_paused.insert(n);
         }
         next_pause = now + std::chrono::milliseconds(random() % 400);
       }
@@ -212,7 +214,8 @@
             (done && s.deed == Deed::kill && struck.contains(l.name)) ||
             (done && s.deed == Deed::cut_output && (struck.contains(l.name) || who_struck)) ||
             (done && s.deed == Deed::cut_halves && struck.contains(l.name) != struck.contains(who)) ||
-            (s.deed == Deed::pause && ever_paused.contains(l.name));
+            (s.deed == Deed::pause &&
+             (paused_until.contains(l.name) || (woken.contains(l.name) && at - woken[l.name] < kForgiven)));
         if (!guilty && change != l.status) {
           if (l.status == Status::dead) ++false_dead;
           if (l.status == Status::suspect) ++flaps;
--- /dev/null
+++ b/bench/scenarios/comeback_all.cue
@@ -0,0 +1,3 @@
+name: "all restart at once, wiped"
+share: 1
+wipe: true
--- /dev/null
+++ b/bench/scenarios/comeback_most.cue
@@ -0,0 +1,1 @@
+name: "most restart at once"
--- /dev/null
+++ b/bench/scenarios/comeback_tireless.cue
@@ -0,0 +1,4 @@
+name: "most restart, callers without limit"
+tireless: 1
+heeding: 0
+sticky: 0
--- /dev/null
+++ b/bench/scenarios/comeback_warm.cue
@@ -0,0 +1,2 @@
+name: "processes alone restart, kernels stay warm"
+kernels_too: false
