--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -260,6 +260,43 @@
   f.only_these_died({});
 }
 
+TEST(Fleet, ThirdsRemoveNobodyAndHeal) {
+  Trial f(6);
+  f.form();
+  const std::vector<Fleet::Names> parts{{"n0", "n1"}, {"n2", "n3"}, {"n4", "n5"}};
+  for (std::size_t a = 0; a < 3; ++a)
+    for (auto b = a + 1; b < 3; ++b) f.cut(parts[a], parts[b], true);
+  EXPECT_TRUE(f.until(
+      [&] {
+        for (const auto& name : f.names())
+          if (f.view(name)->majority || !f.view(name)->uncertain) return false;
+        return true;
+      },
+      kLong));
+  f.mend_all();
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong)) << f.state();
+  f.only_these_died({});
+}
+
+// One zone of three is cut off: the others give it up, it gives up nobody, and it comes back without a
+// restart.
+TEST(Fleet, AZoneThatIsCutOffComesBack) {
+  Trial f(9);
+  f.form();
+  const Fleet::Names zone{"n0", "n3", "n6"}, others{"n1", "n2", "n4", "n5", "n7", "n8"};
+  const auto cut = f.cut(zone, others, true);
+  EXPECT_TRUE(f.until(
+      [&] {
+        for (const auto& name : zone)
+          if (f.holds("n1", name) != Status::dead || f.view(name)->majority) return false;
+        return f.view("n1")->majority;
+      },
+      kLong));
+  f.mend(cut);
+  EXPECT_TRUE(f.until([&] { return f.agree() && f.all_count(9); }, kLong)) << f.state();
+  f.only_these_died(zone);
+}
+
 TEST(Fleet, TheLargerPartGoesOnAndTheSmallerKeepsItsCertainView) {
   Trial f(7);
   f.form();
