Who outlived its twin takes the name back although the fleet holds the twin dead

Cause: what the others hold of the twin says that it superseded this life, and is dead; Member::about_self left every such record that is not alive unheeded, so that this life never went beyond the twin's incarnation and nobody answered it, unless a record without what the twin had told came first. Change: once it no longer yields it goes beyond a dead one.

--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -376,7 +376,13 @@
     // It says itself that it has superseded this life, which lives: two under one name. The later one keeps
     // it, so that nobody's view goes to and fro; this one says so and waits.
     if (record.told && record.told->beyond == self_.life) {
-      if (record.incarnation <= incarnation_ || record.status != Status::alive) return;
+      if (record.incarnation <= incarnation_ || record.status == Status::suspect) return;
+      if (record.status != Status::alive) {
+        // It is over, and what the others hold of it stands in the way: the name is this life's again. Guards
+        // against one that outlived its twin and is answered by nobody for good.
+        if (!yielding_) go_beyond(record.incarnation, now);
+        return;
+      }
       twin_life_ = record.life;
       if (!std::exchange(yielding_, true)) twin_notice_ = now;
       return note_twin(record.address, now);
