One seal, one rule of a common boot and one guard of ejections; endpoints' keys made once

Review of the change: the frame of files on disk was written twice, as were the boot rule, the bound of ejections, sending by the second path and the windows of keyed classes. While a dependency was out every request made its endpoints' keys anew. Gone: a clock file that nothing used, an accessor, a comment that was not true. A file too large now says so in both readers.

--- a/src/deps/endpoints.cpp
+++ b/src/deps/endpoints.cpp
@@ -131,10 +131,13 @@
   if (e.state == State::half_open) return eject(e, now);
   if (e.state != State::in || e.in_a_row < kFailuresInARow) return;
   // Guards against putting out so many that the rest are overrun, or all for a fault that is theirs together.
-  std::size_t known = 0;
-  for (const auto& x : all_) known += x.state != State::gone;
-  if (count_out() + 1 > std::size_t(most_ejected_ * double(known))) return;
-  eject(e, now);
+  if (may_eject()) eject(e, now);
+}
+
+bool EndpointSet::may_eject() const {
+  std::size_t there = 0;
+  for (const auto& e : all_) there += e.state != State::gone;
+  return count_out() + 1 <= std::size_t(most_ejected_ * double(there));
 }
 
 void EndpointSet::eject(Endpoint& e, TimePoint now) {
@@ -189,10 +192,7 @@
     e.peak_us = double(k.latency.count());
     e.heard = now - k.heard_ago;
   }
-  if (k.out_for.count() <= 0) return true;
-  std::size_t there = 0;
-  for (const auto& x : all_) there += x.state != State::gone;
-  if (count_out() + 1 > std::size_t(most_ejected_ * double(there))) return true;
+  if (k.out_for.count() <= 0 || !may_eject()) return true;
   e.state = State::ejected;
   all_in_ = false;
   e.until = now + std::min(k.out_for, eject_most_);
--- a/src/deps/endpoints.h
+++ b/src/deps/endpoints.h
@@ -64,6 +64,7 @@
   };
   double cost(const Endpoint& e, TimePoint now) const;
   void eject(Endpoint& e, TimePoint now);
+  bool may_eject() const;  // one more
   std::vector<Endpoint> all_;
   bool all_in_ = true;  // none out, held or gone: a candidate is found without a search
   double most_ejected_ = 0.5;
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -24,15 +24,20 @@
       endpoints(s),
       limit(s.least_open, s.most_open),
       budget(s.retry_share, s.retry_burst),
-      outage(s.probe_every, s.probe_most) {}
+      outage(s.probe_every, s.probe_most) {
+  name_endpoints();
+}
 
-std::uint64_t Gatherer::Dependency::fleet_key(std::uint32_t endpoint) const {
-  const auto& a = endpoints.address(endpoint);
-  return membership::name_hash(spec.name + ' ' + a.host + ' ' + std::to_string(a.port));
+void Gatherer::Dependency::name_endpoints() {
+  fleet_keys.clear();
+  for (std::uint32_t i = 0; i < endpoints.places(); ++i) {
+    const auto& a = endpoints.address(i);
+    fleet_keys.push_back(membership::name_hash(spec.name + ' ' + a.host + ' ' + std::to_string(a.port)));
+  }
 }
 
 void Gatherer::Dependency::note_probe(std::uint32_t endpoint, bool out, TimePoint now) {
-  const auto key = fleet_key(endpoint);
+  const auto key = fleet_keys[endpoint];
   std::erase_if(probed, [&](const auto& p) { return p.key == key || now - p.at >= 4 * spec.probe_most; });
   probed.push_back({key, now, out});
 }
@@ -78,6 +83,7 @@
     }
     known->spec = d;
     known->endpoints.change(d);
+    known->name_endpoints();
     known->limit.rebound(d.least_open, d.most_open);
     known->budget.reset(d.retry_share, d.retry_burst);
     known->outage.reset(d.probe_every, d.probe_most);
@@ -606,7 +612,7 @@
   for (std::uint32_t k = 0; k < n; ++k) {
     const auto i = (d.next_probed + k) % n;
     if (d.endpoints.gone(i)) continue;
-    const auto key = d.fleet_key(i);
+    const auto key = d.fleet_keys[i];
     if (membership::told_back(*fleet_, key)) {
       mine = i;
       break;
@@ -622,7 +628,7 @@
   fleet_ = std::move(view);
   for (auto& d : deps_)
     for (std::uint32_t i = 0; d.outage.out() && i < d.endpoints.places(); ++i)
-      if (!d.endpoints.gone(i) && membership::told_back(*fleet_, d.fleet_key(i))) d.outage.probe_now(now);
+      if (!d.endpoints.gone(i) && membership::told_back(*fleet_, d.fleet_keys[i])) d.outage.probe_now(now);
 }
 
 std::vector<membership::Finding> Gatherer::findings(TimePoint now) const {
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -222,7 +222,8 @@
     };
     std::vector<Probed> probed;  // by endpoint
     std::uint32_t next_probed = 0;
-    std::uint64_t fleet_key(std::uint32_t endpoint) const;
+    std::vector<std::uint64_t> fleet_keys;  // by endpoint: its name to other members
+    void name_endpoints();                  // after every change of them
     void note_probe(std::uint32_t endpoint, bool out, TimePoint now);
     std::uint32_t open = 0, waiting = 0;
     Slot oldest = kNone, newest = kNone;  // of those that wait
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -97,11 +97,9 @@
 
 void Edge::wait_out_lost_memory(Duration clock_back_most, TimePoint started) {
   recovery::LostMemory::Rules rules;
-  for (std::size_t i = 0; i < settings_.settings.classes.size(); ++i)
-    rules.windows.push_back(
-        catalog_.is_keyed(ClassId(i))
-            ? settings_.settings.classes[i].repeat_window.value_or(std::chrono::seconds(60))
-            : Duration{});
+  const auto by_class = key_rules(settings_.settings);
+  for (std::size_t i = 0; i < by_class.size(); ++i)
+    rules.windows.push_back(catalog_.is_keyed(ClassId(i)) ? by_class[i].window : Duration{});
   rules.clock_back_most = clock_back_most;
   lost_memory_.emplace(std::move(rules), started);
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -161,7 +161,7 @@
     std::mt19937_64 random;
   };
   std::unique_ptr<Fleet> fleet_;                     // where membership is declared
-  std::optional<recovery::LostMemory> lost_memory_;  // where it is declared; gone once nothing is in doubt
+  std::optional<recovery::LostMemory> lost_memory_;  // where it is declared
   TimePoint born_{};                                 // the kernel
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -212,7 +212,8 @@
   void send_leave(TimePoint now);
   void send(const Address& to, Body body, TimePoint now, Index about = kNobody, std::size_t filler_to = 0,
             std::vector<Record> first = {});
-  // By the second path as well, where both ends have one.
+  // By the second path, where both ends have one.
+  void send_by_second(Index to, Body body, TimePoint now);
   void ping_by_second(Index target, std::uint32_t nonce, TimePoint now);
   Index random_present(bool alive_only);
   std::uint32_t nonce() { return std::uint32_t(random_()) | 1; }
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -42,14 +42,18 @@
   sends_.push_back({to, std::move(d)});
 }
 
-void Member::ping_by_second(Index target, std::uint32_t n, TimePoint now) {
-  const auto& e = roster_.at(target);
-  if (!self_.second || !e.told.second || options_.plain) return;
+void Member::send_by_second(Index to, Body body, TimePoint now) {
+  const auto& e = roster_.at(to);
+  if (!self_.second || !e.told.second) return;  // only where the other end itself has told of it
   const auto before = sends_.size();
-  send(e.told.second, Ping{n, e.name, {}, true}, now, target);
+  send(e.told.second, std::move(body), now, to);
   if (sends_.size() > before) sends_.back().second = true;
 }
 
+void Member::ping_by_second(Index target, std::uint32_t n, TimePoint now) {
+  if (!options_.plain) send_by_second(target, Ping{n, roster_.at(target).name, {}, true}, now);
+}
+
 Duration Member::late_after(const Entry& e) const {
   if (options_.plain) return options_.period / 2;
   const auto most = options_.period / 5;
@@ -303,14 +307,7 @@
   const auto asker = ping.asker.empty() ? from : roster_.find(ping.asker);
   if (asker != kNobody && roster_.at(asker).known)
     heard_ms = std::uint32_t(std::clamp<std::int64_t>(ms(now - roster_.at(asker).heard), 0, 0xfffffff0));
-  if (ping.second) {  // only where the asker itself has told of it: nobody else is sent to
-    const auto& e = roster_.at(from);
-    if (!self_.second || !e.told.second) return;
-    const auto before = sends_.size();
-    send(e.told.second, Ack{ping.nonce, heard_ms, true}, now, from);
-    if (sends_.size() > before) sends_.back().second = true;
-    return;
-  }
+  if (ping.second) return send_by_second(from, Ack{ping.nonce, heard_ms, true}, now);
   if (ping.asker.empty()) roster_.contact(from);
   send(d.from.address, Ack{ping.nonce, heard_ms}, now, from);
 }
--- a/src/snapshot/life_file.cpp
+++ b/src/snapshot/life_file.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <fstream>
 #include <system_error>
 
@@ -48,7 +47,7 @@
 }
 
 struct Cursor {
-  const std::string& bytes;
+  std::string_view bytes;
   std::size_t at;
   bool good = true;
   std::uint64_t number() {
@@ -61,7 +60,7 @@
     const auto size = number();
     if (!good || size > kMostText || bytes.size() - at < size) return good = false, std::string();
     at += size;
-    return bytes.substr(at - size, size);
+    return std::string(bytes.substr(at - size, size));
   }
 };
 
@@ -72,11 +71,30 @@
   return std::nullopt;
 }
 
+}  // namespace
+
 bool same_boot(const Stamp& then, const Stamp& now) {
   return !now.boot.empty() && then.boot == now.boot && now.since_boot >= then.since_boot;
 }
 
-}  // namespace
+std::string seal(std::string_view magic, std::string_view body) {
+  std::string bytes(magic);
+  put(bytes, XXH3_64bits(body.data(), body.size()));
+  return bytes.append(body);
+}
+
+std::variant<std::string_view, Fault> unseal(std::string_view magic, std::string_view bytes,
+                                             std::size_t most) {
+  const Fault bad{"reading it", "damaged"};
+  if (bytes.size() > most) return Fault{"reading it", "too large"};
+  if (bytes.size() < kSeal) return bad;
+  if (bytes.substr(0, 3) != magic.substr(0, 3)) return Fault{"reading it", "not a file of this program"};
+  if (bytes[3] != magic[3]) return Fault{"reading it", "of another version"};
+  Cursor sum{bytes, 4};
+  const auto body = bytes.substr(kSeal);
+  if (sum.number() != XXH3_64bits(body.data(), body.size())) return bad;
+  return body;
+}
 
 Stamp read_stamp() {
   Stamp s;
@@ -96,24 +114,19 @@
   put(body, e.at.boot);
   put(body, std::uint64_t(e.at.since_boot.count()));
   put(body, std::uint64_t(e.at.unix_us));
-  std::string bytes = kMagic;
-  put(bytes, XXH3_64bits(body.data(), body.size()));
-  return bytes + body;
+  return seal(kMagic, body);
 }
 
 std::variant<Ended, Fault> decode(const std::string& bytes) {
-  const Fault bad{"reading it", "damaged"};
-  if (bytes.size() < 12 || bytes.size() > kMost) return bad;
-  if (bytes.compare(0, 3, kMagic, 3) != 0) return Fault{"reading it", "not a file of this program"};
-  if (bytes[3] != kMagic[3]) return Fault{"reading it", "of another version"};
-  Cursor c{bytes, 4};
-  if (c.number() != XXH3_64bits(bytes.data() + 12, bytes.size() - 12)) return bad;
+  const auto body = unseal(kMagic, bytes, kMost);
+  if (const auto* fault = std::get_if<Fault>(&body)) return *fault;
+  Cursor c{std::get<std::string_view>(body), 0};
   Ended e;
   e.name = c.text();
   e.at.boot = c.text();
   e.at.since_boot = Duration(std::int64_t(c.number()));
   e.at.unix_us = std::int64_t(c.number());
-  if (!c.good || c.at != bytes.size()) return bad;
+  if (!c.good || c.at != c.bytes.size()) return Fault{"reading it", "damaged"};
   return e;
 }
 
--- a/src/snapshot/life_file.h
+++ b/src/snapshot/life_file.h
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "granitegap/policy.h"
@@ -34,6 +35,16 @@
 struct Nothing {};  // there is no such file
 
 // ---- The bytes; no I/O ----
+// What lies on disk: four characters of which the last is the format's version, the XXH3 of the rest, the
+// rest.
+inline constexpr std::size_t kSeal = 12;
+std::string seal(std::string_view magic, std::string_view body);
+// The body, or why it is not believed.
+std::variant<std::string_view, Fault> unseal(std::string_view magic, std::string_view bytes,
+                                             std::size_t most);
+// Whether `now` counts on from `then` by one boot's clock.
+bool same_boot(const Stamp& then, const Stamp& now);
+
 std::string encode(const Ended& ended);
 std::variant<Ended, Fault> decode(const std::string& bytes);
 
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -1,7 +1,6 @@
 #include "snapshot/snapshot.h"
 
 #include <sys/stat.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -12,8 +11,7 @@
 namespace granitegap::snapshot {
 namespace {
 
-constexpr char kMagic[] = "ggl1";  // its last character is the format's version
-constexpr std::size_t kHead = 12;
+constexpr char kMagic[] = "ggl1";
 constexpr const char* kNames[] = {"learned-a", "learned-b"};
 constexpr std::size_t kMostText = 255;
 constexpr Duration kMostSpan = std::chrono::hours(24 * 365);
@@ -47,28 +45,19 @@
     to->set_port(m.port);
   }
   // Long names can still make too much of it: what is left out is only warmth.
-  while (p.ByteSizeLong() + kHead > kMostSnapshot && p.endpoints_size() > 0)
+  while (p.ByteSizeLong() + kSeal > kMostSnapshot && p.endpoints_size() > 0)
     p.mutable_endpoints()->DeleteSubrange(p.endpoints_size() / 2,
                                           p.endpoints_size() - p.endpoints_size() / 2);
-  std::string bytes(kHead, '\0');
-  p.AppendToString(&bytes);
-  std::memcpy(bytes.data(), kMagic, 4);
-  const auto sum = XXH3_64bits(bytes.data() + kHead, bytes.size() - kHead);
-  for (std::size_t i = 0; i < 8; ++i) bytes[4 + i] = char(sum >> (8 * i));
-  return bytes;
+  return seal(kMagic, p.SerializeAsString());
 }
 
 std::variant<Snapshot, Fault> decode_snapshot(const std::string& bytes) {
   const Fault bad{"reading it", "damaged"};
-  if (bytes.size() > kMostSnapshot) return Fault{"reading it", "too large for a snapshot"};
-  if (bytes.size() < kHead) return bad;
-  if (bytes.compare(0, 3, kMagic, 3) != 0) return Fault{"reading it", "not a file of this program"};
-  if (bytes[3] != kMagic[3]) return Fault{"reading it", "of another version"};
-  std::uint64_t sum = 0;
-  for (std::size_t i = 0; i < 8; ++i) sum |= std::uint64_t(std::uint8_t(bytes[4 + i])) << (8 * i);
-  if (sum != XXH3_64bits(bytes.data() + kHead, bytes.size() - kHead)) return bad;
+  const auto body = unseal(kMagic, bytes, kMostSnapshot);
+  if (const auto* fault = std::get_if<Fault>(&body)) return *fault;
+  const auto& sealed = std::get<std::string_view>(body);
   wire::Snapshot p;
-  if (!p.ParseFromArray(bytes.data() + kHead, int(bytes.size() - kHead))) return bad;
+  if (!p.ParseFromArray(sealed.data(), int(sealed.size()))) return bad;
   // A sum that is right says who wrote it, not that it makes sense: held against the bounds all the same.
   if (p.by().size() > kMostText || p.boot().size() > kMostText || p.since_boot_us() < 0 ||
       std::size_t(p.endpoints_size()) > learned::kMostEndpoints ||
@@ -98,8 +87,7 @@
 }
 
 std::optional<Duration> age_of(const Stamp& then, const Stamp& now) {
-  if (!now.boot.empty() && then.boot == now.boot && now.since_boot >= then.since_boot)
-    return now.since_boot - then.since_boot;
+  if (same_boot(then, now)) return now.since_boot - then.since_boot;
   if (now.unix_us < then.unix_us) return std::nullopt;
   return Duration(now.unix_us - then.unix_us);
 }
--- a/tools/fleet/clock_shift.cpp
+++ b/tools/fleet/clock_shift.cpp
@@ -1,24 +1,13 @@
-// Loaded into a process of a test fleet (LD_PRELOAD): its calendar clock is off by CLOCK_SHIFT_MS, or by what
-// the file CLOCK_SHIFT_FILE holds now, so that a clock may also jump while the process lives. Its steady
+// Loaded into a process of a test fleet (LD_PRELOAD): its calendar clock is off by CLOCK_SHIFT_MS. Its steady
 // clock is as it is.
 #include <dlfcn.h>
-#include <fcntl.h>
 #include <time.h>
-#include <unistd.h>
 
 #include <cstdlib>
 
 namespace {
 
 long long shift_ms() {
-  if (const char* file = std::getenv("CLOCK_SHIFT_FILE")) {
-    char text[32] = {};
-    const int in = ::open(file, O_RDONLY | O_CLOEXEC);
-    if (in < 0) return 0;
-    const auto got = ::read(in, text, sizeof text - 1);
-    ::close(in);
-    return got > 0 ? std::atoll(text) : 0;
-  }
   const char* text = std::getenv("CLOCK_SHIFT_MS");
   return text ? std::atoll(text) : 0;
 }
--- a/tools/fleet/crowd.cpp
+++ b/tools/fleet/crowd.cpp
@@ -189,16 +189,14 @@
       co_return std::nullopt;
     }
     if (!line->up || line->port != there || line->open.size() >= kMostOpen) {
-      if (line->open.size() >= kMostOpen || line->port != there || !line->up) {
-        line = proxies[who].lines[server] = std::make_shared<Line>(io);
-        line->port = there;
-        error_code error;
-        co_await line->socket.async_connect({asio::ip::address_v4::loopback(), there}, into(error));
-        if (error) co_return std::nullopt;
-        line->socket.set_option(tcp::no_delay(true), error);
-        line->up = true;
-        asio::co_spawn(io, read(line), asio::detached);
-      }
+      line = proxies[who].lines[server] = std::make_shared<Line>(io);
+      line->port = there;
+      error_code error;
+      co_await line->socket.async_connect({asio::ip::address_v4::loopback(), there}, into(error));
+      if (error) co_return std::nullopt;
+      line->socket.set_option(tcp::no_delay(true), error);
+      line->up = true;
+      asio::co_spawn(io, read(line), asio::detached);
     }
     asio::steady_timer done(io, until);
     std::optional<standin::Answered> got;
@@ -220,6 +218,8 @@
     error_code ignored;
     co_await done.async_wait(into(ignored));
     line->open.erase(stream);
+    // Another has taken its place: guards against connections that pile up until a server has none to give.
+    if (line->open.empty() && line != proxies[who].lines[server]) line->socket.close(ignored);
     co_return got;
   }
 
--- a/tools/fleet/crowd.h
+++ b/tools/fleet/crowd.h
@@ -64,7 +64,6 @@
   Duration elapsed() const;
   // Those wanted in [from, to), as they stand now.
   std::vector<Fate> fates(Duration from, Duration to) const;
-  const CrowdOptions& options() const { return options_; }
 
  private:
   struct Work;
