--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -25,6 +25,9 @@
 	// Bounds of the concurrency limit, and of the calls that wait for it.
 	least_open:   int & >=1 & <=1024 | *2
 	most_open:    int & >=1 & <=1024 | *64
+	// Calls open at once of the whole fleet together, shared evenly over the members that are there (membership has
+	// to be declared); 0: no such bound.
+	fleet_open: int & >=0 & <=1000000 | *0
 	most_waiting: int & >=0 & <=4096 | *128
 
 	// Endpoints that fail in a row are out for a while, longer each time; this share of them at most.
@@ -126,6 +129,23 @@
 	snapshot_every: duration & >=100ms & <=1h | *5s
 	// A Unix clock that was set back lengthens the wait by as much; past this the earlier one is taken for wrong.
 	clock_back_most: duration & >=0s & <=168h | *1h
+	// Whether the way to full service is guided: what is offered grows with proven work, from `first` on and by
+	// `growth` a step at the most, and until then nobody is taken who would wait longer for a core than `wait_bound`
+	// times the target of its class.
+	guided:     bool | *true
+	first:      >=0.01 & <=1 | *0.1
+	growth:     >=1.1 & <=4 | *1.5
+	wait_bound: >=0.1 & <=20 | *1
+	// How long nobody must have been turned away for load before the bound on waits is lifted.
+	calm_for: duration & >=100ms & <=1h | *3s
+	// How long others are asked for what they know, at the most.
+	learn_most: duration & >=0s & <=30s | *800ms
+	// A process that stood still for longer (SIGSTOP, a sleeping machine) takes what it remembers for old, and asks
+	// again.
+	pause_most: duration & >=500ms & <=1h | *5s
+	// TCP, on the address of membership.bind: where this process tells others what it has learned. 0: any that is
+	// free, which membership tells them.
+	donate_port: int & >=0 & <=65535 | *0
 }
 
 #Operator: {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -130,6 +130,8 @@
   double pace = 1;                   // time on the cores per unit of hinted work
   TimePoint last_refill, regime_since;
   bool overloaded = false;
+  std::optional<double> most_wait;  // a bound set by the host
+  double offered = 1;               // of the credit, set by the host
   double on_cores = 0, paced_crowd = 0;  // the gauge; its mean over the runs that make up the pace
   double best_pace = 0;                  // the least that the pace has been
   std::size_t paced_runs = 0;
@@ -253,7 +255,7 @@
   Duration attained(const Request& r) const {
     return r.phase == Phase::running ? r.on_cores + (now - r.since) : r.on_cores;
   }
-  Duration expected_wait(Request& r) {
+  double work_ahead(Request& r) {
     double work = 0;
     for (auto& [id, other] : requests) {
       const double full = sec(run_time(other.in));
@@ -262,8 +264,9 @@
       else if (other.phase == Phase::held && &other != &r && cls(other).worth >= cls(r).worth)
         work += full;
     }
-    return dur(work / limit);
+    return work;
   }
+  Duration expected_wait(Request& r) { return dur(work_ahead(r) / limit); }
   Duration time_needed(Request& r) { return run_time(r.in) + cls(r).call_time; }
 
   // ---- Memory: held + run_factor x running + keys ----
@@ -366,7 +369,7 @@
     if (s.free_number.value_or(FreeNumber::none) != FreeNumber::credit) return;
     double credit = pool / active_callers();
     if (worst_ratio <= 1) credit = std::max(credit, 1.0);
-    if (!takes_work()) credit = 0;
+    credit = takes_work() ? credit * offered : 0;
     if (said >= 0 && std::abs(credit - said) < 0.02 * said) return;
     said = credit;
     act(AdvertiseCredit{credit});
@@ -482,6 +485,12 @@
     if (under_the_bar(r)) return Reason::waits_too_long;
     if (count(Phase::running) < int(limit) && count(Phase::held) <= 1) return std::nullopt;
     if (oldest_wait(r.in.cls) > kDropRatio * sec(target(r))) return Reason::waits_too_long;
+    // By what the cores can do, not by the oldest wait: guards against a burst that is taken while the hold is
+    // empty and keeps everybody waiting past the patience of their callers, who are served when they are gone.
+    if (const double ahead = work_ahead(r) / cores; most_wait && ahead > *most_wait * sec(target(r))) {
+      arrival_ratio = std::max(arrival_ratio, ahead / sec(target(r)));
+      return Reason::waits_too_long;
+    }
     const auto wait = expected_wait(r);
     if (now + wait + dur(kServeMargin * sec(time_needed(r))) > r.useful_until) {
       // The wait it would have met is a delay like any other: refusing early must not make the pool look
@@ -772,6 +781,11 @@
       }
   }
 
+  void on(const BoundSet& e) {
+    most_wait = e.most_wait;
+    offered = std::isfinite(e.offered) ? std::clamp(e.offered, 0.0, 1.0) : 1;
+  }
+
   // ---- The update ----
   void on(const TimerFired& e) {
     if (e.token != kUpdateToken) return answer_due(e.token);
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -103,6 +103,7 @@
     }
   }
   fresh->spec = std::move(spec);
+  share_limits();
   cache_.resize(fresh->spec->cache_bytes);
   for (std::uint32_t d = 0; d < deps_.size(); ++d) pump(d, now);
   return fresh;
@@ -623,9 +624,31 @@
   return mine;
 }
 
+// An even share for each member that is there. Where it can't be told who is, all that were agreed on count as
+// there, and before there is any view one call at a time is all: guards against a fleet that comes back as one
+// and falls on what it had emptied, each member with the whole limit.
+void Gatherer::share_limits() {
+  std::uint32_t members = 0;
+  if (fleet_) {
+    const auto there = 1 + std::count_if(fleet_->peers.begin(), fleet_->peers.end(), [](const auto& p) {
+                         return p.present == membership::Status::alive;
+                       });
+    const bool sure = fleet_->majority && !fleet_->uncertain;
+    members = std::uint32_t(sure ? there : std::max<std::size_t>(std::size_t(there), fleet_->agreed));
+  }
+  for (auto& d : deps_) {
+    if (d.spec.fleet_open == 0)
+      d.limit.cap(~0u);
+    else
+      d.limit.cap(members > 0 ? d.spec.fleet_open / members : 1);
+  }
+}
+
 // Other members may be probing it; one of them that has found it back is taken at its word for one try.
 void Gatherer::fleet(std::shared_ptr<const membership::View> view, TimePoint now) {
   fleet_ = std::move(view);
+  share_limits();
+  for (std::uint32_t d = 0; d < deps_.size(); ++d) pump(d, now);
   for (auto& d : deps_)
     for (std::uint32_t i = 0; d.outage.out() && i < d.endpoints.places(); ++i)
       if (!d.endpoints.gone(i) && membership::told_back(*fleet_, d.fleet_keys[i])) d.outage.probe_now(now);
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -243,6 +243,7 @@
   };
 
   std::shared_ptr<const membership::View> fleet_;
+  void share_limits();
   std::shared_ptr<const Loaded> load(std::shared_ptr<const Spec> spec, TimePoint now);
   const GatherSpec& what(const Gather& g) const { return g.loaded->spec->gathers[g.which]; }
   Slot find_gather(RequestId id) const;
--- a/src/deps/limits.h
+++ b/src/deps/limits.h
@@ -18,7 +18,9 @@
 class ConcurrencyLimit {
  public:
   ConcurrencyLimit(std::uint32_t least, std::uint32_t most);
-  std::uint32_t limit() const { return std::uint32_t(limit_); }
+  std::uint32_t limit() const { return std::min(std::uint32_t(limit_), cap_); }
+  // This process's share of what a fleet may have open, over whatever it has learned; 1 at the least.
+  void cap(std::uint32_t most) { cap_ = std::max(most, 1u); }
   void succeeded(Duration took, std::uint32_t open_then);
   void failed();
   // The mean of the newest few answers; zero before the first.
@@ -31,7 +33,7 @@
   double least_, most_, limit_;
   double best_ = 0, mean_ = 0;  // us
   double ramp_to_ = 0;          // slow start is on while above zero
-  std::uint32_t ends_ = 0, since_cut_ = 0;
+  std::uint32_t ends_ = 0, since_cut_ = 0, cap_ = ~0u;
 };
 
 // Tries beyond the first are paid for by recent successes: each saves `share` of a try, up to `burst`, and
--- a/src/deps/spec.h
+++ b/src/deps/spec.h
@@ -31,6 +31,8 @@
   double hedge_after = 0.95;  // the quantile of recent answers after which a second try starts; 0: never
 
   std::uint32_t least_open = 2, most_open = 64;  // bounds of the concurrency limit
+  // Of the whole fleet together, shared evenly over the members that are there; 0: no such bound.
+  std::uint32_t fleet_open = 0;
   std::uint32_t most_waiting = 128;              // calls that wait for it
 
   double most_ejected = 0.5;  // of the endpoints, rounded down
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace granitegap::edge {
@@ -11,6 +12,8 @@
 constexpr std::size_t kMaxDeepChecks = 64;
 // Before the end of the grace: the notice is heard a little after it was given.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(100);
+constexpr Duration kCourseEvery = std::chrono::milliseconds(100);
+constexpr Duration kBootsApart = std::chrono::seconds(2);  // between two words of one start
 constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
 std::vector<KeyTable::Rules> key_rules(const Settings& settings) {
@@ -27,7 +30,8 @@
     : settings_(std::move(settings)),
       catalog_(std::move(catalog)),
       seed_(seed),
-      keys_(key_rules(settings_.settings)) {}
+      keys_(key_rules(settings_.settings)),
+      spread_(seed) {}
 
 std::vector<Output> Edge::step(Now now, std::vector<Input> inputs) {
   now_ = now;
@@ -35,6 +39,7 @@
   out_.clear();
   for (auto& input : inputs) std::visit([&](auto& i) { on(std::move(i)); }, input);
   fire_timers();
+  if (course_) mind_course();
   // Applying actions may end further requests (a repeat whose result is at hand): another round tells the
   // module, until nothing is left to tell.
   for (;;) {
@@ -118,9 +123,12 @@
 }
 
 void Edge::on(const LearnedNews& news) {
+  if (course_ && news.from_others == 0) course_->expected(news.what.members.size(), now_.steady);
   if (!gatherer_) return;
+  const auto from = news.from_others == 0 ? std::string("an earlier life")
+                                          : std::to_string(news.from_others) + " other members";
   if (const auto used = gatherer_->learn(news.what, now_.steady))
-    remark("learned of " + std::to_string(used) + " endpoints from an earlier life", "learned");
+    remark("learned of " + std::to_string(used) + " endpoints from " + from, "learned");
 }
 
 learned::Learned Edge::learned(TimePoint now) const {
@@ -131,6 +139,69 @@
 
 void Edge::on(const Closing&) { closing_ = true; }
 
+void Edge::guide_return(const recovery::CourseRules& rules, TimePoint started) {
+  course_.emplace(rules, started);
+}
+
+void Edge::on(const LearningOver& over) {
+  if (course_) course_->learned(over.sources, now_.steady);
+}
+
+// What recovery has found reaches the module as a bound: it stays the one that admits, orders and refuses.
+void Edge::mind_course() {
+  if (module_ && now_.steady - course_at_ >= kCourseEvery) {
+    course_at_ = now_.steady;
+    course_->tick(now_.steady);
+  }
+  tell_course();
+  if (!module_) return;
+  const BoundSet bound{course_->wait_bound(), course_->offered()};
+  if (bound.most_wait == bound_.most_wait && bound.offered == bound_.offered) return;
+  bound_ = bound;
+  events_.emplace_back(bound);
+}
+
+void Edge::tell_course() {
+  using News = recovery::Course::News;
+  const auto ms = [](Duration d) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+  };
+  const auto reached = [&](const std::optional<Duration>& d) { return d ? ms(*d) : std::string("-"); };
+  const auto& m = course_->milestones();
+  for (const auto& news : course_->take_news()) switch (news.what) {
+      case News::phase:
+        remark(std::string("recovery: ") + recovery::text_of(news.at) +
+                   (news.at == recovery::Phase::ramping
+                        ? ", about " + ms(course_->left(now_.steady)) + " ms to full service"
+                        : ""),
+               "recovery_phase", recovery::text_of(news.at));
+        break;
+      case News::kind:
+        remark(std::string("recovery: this start is ") +
+                   (news.of == recovery::Kind::alone  ? "one among healthy ones"
+                    : news.of == recovery::Kind::wave ? "one of a wave"
+                                                              : "one of most of the fleet's"),
+               "recovery_kind", recovery::text_of(news.of));
+        break;
+      case News::full:
+        remark("recovery: full service after " + reached(m.full) + " ms, guessed " + reached(m.estimate) +
+                   "; first answer " + reached(m.first_answer) + ", good health " + reached(m.good_health) +
+                   ", half " + reached(m.half) + ", 0.95 " + reached(m.most) + "; learned from " +
+                   std::to_string(m.sources),
+               "recovery_full", reached(m.full));
+        break;
+      case News::paused:
+        out_.emplace_back(AskOthers{});
+        remark("recovery: this process stood still for long: what it remembers is old", "recovery_paused");
+        break;
+      case News::guarding:
+        remark(news.guarded ? "recovery: waits are bounded while others come back or callers press"
+                                   : "recovery: waits are not bounded any more",
+               "recovery_guard", news.guarded ? "on" : "off");
+        break;
+    }
+}
+
 void Edge::on(const EarlierLifeNews& news) {
   if (!lost_memory_) return;
   lost_memory_->learn(news.found, now_.steady);
@@ -145,6 +216,12 @@
          "keyed_wait");
 }
 
+Duration Edge::keyed_wait(TimePoint now) const {
+  const auto until = lost_memory_ ? lost_memory_->longest() : TimePoint::min();
+  if (until == TimePoint::max()) return Duration::max();
+  return until <= now ? Duration{} : until - now;
+}
+
 // Guards against stamps that no request of this machine can bear: in the future, or past the moment when it
 // was due its answer. Such a stamp would also move the window in which its token must not run again.
 bool Edge::untimely(const Request& request) const {
@@ -235,9 +312,17 @@
 // The kernel's start is the module's: it may come long after this process's, and how warm the cores are
 // counts from it. Later links only repeat the news.
 void Edge::on(const Booted& booted) {
+  const auto born = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
+  const bool anew = module_ && booted.cold && born > born_ + kBootsApart;  // its machine has restarted
+  if (course_ && (!module_ || anew)) {
+    const auto warm_up = settings_.settings.warm_up.value_or(std::chrono::seconds(60));
+    course_->kernel(booted.cold, born + warm_up - now_.steady, now_.steady);
+    course_->health(good_, now_.steady);
+  }
+  if (anew) born_ = born;
   if (module_) return;
   settings_.settings.cold = booted.cold;
-  born_ = now_.steady - std::min<Duration>(booted.ago, std::chrono::hours(24));
+  born_ = born;
   module_.emplace(settings_.settings, seed_, born_);
   for (const auto& action : module_->start()) std::visit([&](const auto& a) { apply(a); }, action);
   report_health();
@@ -346,6 +431,7 @@
 void Edge::apply(const Refuse& a) {
   auto* o = find(a.id);
   if (!o) return;
+  if (course_ && a.keep_off.count() > 0) course_->turned_away(now_.steady);
   // 'Refused' promises that this try never ran.
   answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr, keep_off(a.keep_off),
          a.do_not_try_elsewhere);
@@ -353,9 +439,16 @@
 }
 
 // The module's advice, spread in time while part of the fleet is missing.
+// And over the time that a return will still take: guards against callers that come together again and again
+// while there is nothing more to be had than the last time.
 Duration Edge::keep_off(Duration advised) {
-  if (!fleet_ || fleet_->missing <= 0) return advised;
   const auto most = settings_.settings.max_advice.value_or(advised);
+  if (course_ && course_->phase() != recovery::Phase::full && advised.count() > 0 && advised < most) {
+    const auto window = std::min(most - advised, course_->left(now_.steady) / 4);
+    return advised + Duration(std::int64_t(double(window.count()) *
+                                           std::uniform_real_distribution<double>(0, 1)(spread_)));
+  }
+  if (!fleet_ || fleet_->missing <= 0) return advised;
   return membership::spread_backoff(advised, most, fleet_->missing,
                                     std::uniform_real_distribution<double>(0, 1)(fleet_->random));
 }
@@ -403,6 +496,7 @@
   from_store_ = a.from_store;
   const bool good = a.good && !drain_from_;
   if (std::exchange(good_, good) != good) report_health();
+  if (course_) course_->health(good_, now_.steady);
 }
 
 void Edge::apply(const AdvertiseCredit& a) { hint_ = std::max(a.credit, 0.0); }
@@ -460,6 +554,7 @@
   if (!fleet_) fleet_ = std::make_unique<Fleet>(Fleet{0, std::mt19937_64(seed_)});
   // Without a majority the missing may be this one: its advice stays as it is.
   fleet_->missing = news.view->majority ? membership::missing_share(*news.view) : 0;
+  if (course_) course_->fleet(recovery::facts_of(*news.view), now_.steady);
   if (lost_memory_) lost_memory_->another_lives(news.view->twin, now_.steady);
   if (gatherer_) gatherer_->fleet(news.view, now_.steady);
 }
@@ -468,6 +563,12 @@
   Standing s;
   if (gatherer_) s.findings = gatherer_->findings(now);
   if (hint_) s.pressed = std::uint8_t(std::clamp(100 / (1 + std::max(*hint_, 0.0)), 0.0, 100.0));
+  if (course_) {
+    const auto full = course_->milestones().full;
+    s.course = {std::uint8_t(1 + std::uint8_t(course_->phase())),
+                std::uint8_t(std::lround(100 * course_->offered())), 0,
+                std::uint32_t(full ? std::clamp<std::int64_t>(full->count() / 1000, 1, 0xfffffff0) : 0)};
+  }
   if (!module_) return s;
   const double warm_up = double(settings_.settings.warm_up.value_or(std::chrono::seconds(60)).count());
   const double part =
@@ -537,6 +638,7 @@
 void Edge::answer(Open& o, Outcome outcome, Result result, Duration backoff, bool last) {
   if (std::exchange(o.answered, true)) return;
   --unanswered_;
+  if (course_) course_->answered(outcome == Outcome::served, now_.steady);
   out_.emplace_back(Answer{o.request.from, outcome, std::move(result), hint_, backoff, last});
 }
 
@@ -547,6 +649,9 @@
 void Edge::finish_run(RequestId id, RunResult how, Duration took, Result result) {
   auto& o = open_.at(id);
   events_.emplace_back(RunEnded{id, how, took});
+  if (course_ && how != RunResult::moot)
+    course_->ran(how == RunResult::ok && !o.answered && now_.unix - o.request.reached <= aim_of(o.request.cls),
+                 now_.steady);
   answer(o, how == RunResult::ok ? Outcome::served : Outcome::failed, result);
   end(id, how == RunResult::ok ? KeyTable::RunState::good : KeyTable::RunState::bad, std::move(result));
 }
@@ -574,6 +679,12 @@
   for (const auto follower : o.followers) settle_follower(follower, state, result);
 }
 
+Duration Edge::aim_of(ClassId cls) const {
+  const auto& classes = settings_.settings.classes;
+  const auto i = std::size_t(cls);
+  return i < classes.size() ? classes[i].aim.value_or(Duration::max()) : Duration::max();
+}
+
 void Edge::report_health() {
   if (module_ || drain_from_) out_.emplace_back(Report{good_ && !drain_from_});
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -34,6 +34,10 @@
   // are the rules' own, windows come from the settings.
   void wait_out_lost_memory(Duration clock_back_most, TimePoint started);
 
+  // How it comes back is guided: before the first step.
+  void guide_return(const recovery::CourseRules& rules, TimePoint started);
+  const recovery::Course* course() const { return course_ ? &*course_ : nullptr; }
+
   // All that came since the last step, in order; what is to be done now, in order.
   std::vector<Output> step(Now now, std::vector<Input> inputs);
   std::optional<TimePoint> next_timer();
@@ -45,8 +49,11 @@
     membership::Stage stage = membership::Stage::starting;
     std::uint8_t warmth = 0, pressed = 0;  // in 100
     std::vector<membership::Finding> findings;
+    membership::Course course;
   };
   Standing standing(TimePoint now) const;
+  // How long keyed requests still wait for what an earlier life may have run; the greatest where no end is seen.
+  Duration keyed_wait(TimePoint now) const;
   // What another life of this process could use.
   learned::Learned learned(TimePoint now) const;
 
@@ -88,7 +95,10 @@
   void on(const FleetNews& news);
   void on(const EarlierLifeNews& news);
   void on(const LearnedNews& news);
+  void on(const LearningOver& over);
   void on(const Closing& closing);
+  void mind_course();
+  void tell_course();
   bool waits_out(const Request& request);
   void say_how_long();
   void fire_timers();
@@ -127,6 +137,7 @@
   void settle_follower(RequestId id, KeyTable::RunState state, const Result& result);
   void finish_run(RequestId id, RunResult how, Duration took, Result result);
   void report_health();
+  Duration aim_of(ClassId cls) const;
   Duration keep_off(Duration advised);
   void remark(std::string text, std::string_view event, std::string subject = {}) {
     out_.emplace_back(Remark{std::move(text), event, std::move(subject)});
@@ -162,6 +173,10 @@
   };
   std::unique_ptr<Fleet> fleet_;                     // where membership is declared
   std::optional<recovery::LostMemory> lost_memory_;  // where it is declared
+  std::optional<recovery::Course> course_;           // the same
+  std::mt19937_64 spread_;                           // of advice while it comes back
+  BoundSet bound_;                                   // as the module holds it
+  TimePoint course_at_{};
   TimePoint born_{};                                 // the kernel
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -13,6 +13,7 @@
 #include "granitegap/policy.h"
 #include "learned/learned.h"
 #include "membership/views.h"
+#include "recovery/course.h"
 #include "recovery/lost_memory.h"
 
 namespace granitegap::edge {
@@ -124,8 +125,12 @@
 struct EarlierLifeNews {  // what is found of the life before this one
   recovery::EarlierLife found;
 };
-struct LearnedNews {  // what an earlier life knew, faded by its age
+struct LearnedNews {  // what an earlier life or others knew, faded by its age
   learned::Learned what;
+  std::size_t from_others = 0;  // how many of them; 0: an earlier life
+};
+struct LearningOver {  // nobody is left to ask, or nobody ever was
+  std::size_t sources = 0;
 };
 struct Closing {};  // nothing that comes from here on may run: the end is being written down
 struct GatheredPart {
@@ -176,7 +181,9 @@
 
 using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
                            RunReport, CommandRejected, Gauges, DeepCheckDone, deps::CallReport,
-                           NewDeclaration, FleetNews, EarlierLifeNews, LearnedNews, Closing>;
+                           NewDeclaration, FleetNews, EarlierLifeNews, LearnedNews, LearningOver, Closing>;
+
+struct AskOthers {};  // what they know: the memory of this process is blank, or old
 
 // ---- To the list, the peers and the log ----
 struct Report {
@@ -191,6 +198,6 @@
   std::string subject;
 };
 using Output =
-    std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow, DropCall>;
+    std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow, DropCall, AskOthers>;
 
 }  // namespace granitegap::edge
--- a/src/learned/learned.cpp
+++ b/src/learned/learned.cpp
@@ -1,6 +1,10 @@
 #include "learned/learned.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace granitegap::learned {
@@ -17,6 +21,66 @@
   if (learned.members.size() > kMostMembers) learned.members.resize(kMostMembers);
 }
 
+namespace {
+
+constexpr Duration kWeightHalves = std::chrono::seconds(10);
+
+double weight_of(Duration heard_ago) {
+  return std::exp2(-double(std::max(heard_ago, Duration{}).count()) / double(kWeightHalves.count()));
+}
+
+// The one at which half of the weight is reached.
+const Endpoint& weighted_median(std::vector<const Endpoint*>& heard) {
+  std::sort(heard.begin(), heard.end(), [](auto* a, auto* b) { return a->latency < b->latency; });
+  double all = 0, sum = 0;
+  for (const auto* e : heard) all += weight_of(e->heard_ago);
+  for (const auto* e : heard)
+    if ((sum += weight_of(e->heard_ago)) >= all / 2) return *e;
+  return *heard.back();
+}
+
+Endpoint merged_endpoint(const std::vector<const Endpoint*>& said) {
+  Endpoint to = *said.front();
+  std::vector<const Endpoint*> heard;
+  double in = 0, out = 0;
+  for (const auto* e : said) {
+    // Whoever holds it out now has not called it for a while, but is sure now.
+    (e->out_for > Duration{} ? out : in) += e->out_for > Duration{} ? 1 : weight_of(e->heard_ago);
+    if (e->latency > Duration{}) heard.push_back(e);
+  }
+  to.latency = to.heard_ago = to.out_for = {};
+  to.times_out = 0;
+  if (!heard.empty()) {
+    const auto& middle = weighted_median(heard);
+    to.latency = middle.latency;
+    to.heard_ago = middle.heard_ago;
+  }
+  if (out <= in) return to;
+  // The shortest of those that hold it out: an ejection is tried again rather too soon than too late.
+  for (const auto* e : said)
+    if (e->out_for > Duration{} && (to.out_for == Duration{} || e->out_for < to.out_for)) {
+      to.out_for = e->out_for;
+      to.times_out = e->times_out;
+    }
+  return to;
+}
+
+}  // namespace
+
+Learned merged(const std::vector<Learned>& several) {
+  Learned to;
+  std::map<std::tuple<std::string, std::string, std::uint16_t>, std::vector<const Endpoint*>> endpoints;
+  std::set<membership::Address> members;
+  for (const auto& one : several) {
+    for (const auto& e : one.endpoints) endpoints[{e.dependency, e.host, e.port}].push_back(&e);
+    members.insert(one.members.begin(), one.members.end());
+  }
+  for (const auto& [key, said] : endpoints) to.endpoints.push_back(merged_endpoint(said));
+  to.members.assign(members.begin(), members.end());
+  bound(to);
+  return to;
+}
+
 Learned faded(Learned learned, std::optional<Duration> age) {
   if (!age || *age < Duration{}) {
     learned.endpoints.clear();  // of no known age: guards against acting on an hour-old ejection
--- a/src/learned/learned.h
+++ b/src/learned/learned.h
@@ -45,6 +45,11 @@
 // Keeps to the bounds: the endpoints with most to say, the members as they come.
 void bound(Learned& learned);
 
+// What several say of the same, in one value: of each endpoint the weighted median of its latency, where what
+// was heard longer ago weighs less; out only where most of the weight of those that speak of it says so. One
+// that differs wildly from the others moves nothing. Each member's address once.
+Learned merged(const std::vector<Learned>& several);
+
 // As it may still be used after `age`; nothing of it that fades where the age is not known.
 Learned faded(Learned learned, std::optional<Duration> age);
 
--- /dev/null
+++ b/src/learning_tcp/codec.cpp
@@ -0,0 +1,97 @@
+#include "learning_tcp/codec.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "learning.pb.h"
+
+namespace granitegap::learning_tcp {
+namespace {
+
+constexpr char kQuestion[] = "ggq1", kOffer[] = "ggo1";
+constexpr std::size_t kMostText = 64;
+
+using snapshot::Fault;
+
+template <class Message>
+std::variant<Message, Fault> parsed(const char* magic, std::string_view bytes, std::size_t most) {
+  const auto body = snapshot::unseal(magic, bytes, most);
+  if (const auto* fault = std::get_if<Fault>(&body)) return *fault;
+  const auto& sealed = std::get<std::string_view>(body);
+  Message m;
+  if (!m.ParseFromArray(sealed.data(), int(sealed.size()))) return Fault{"reading it", "damaged"};
+  return m;
+}
+
+}  // namespace
+
+std::string encode(const Asked& a) {
+  wire::Question p;
+  p.set_cluster(a.cluster);
+  p.set_name(a.name);
+  p.set_nonce(a.nonce);
+  return snapshot::seal(kQuestion, p.SerializeAsString());
+}
+
+std::variant<Asked, Fault> decode_question(std::string_view bytes) {
+  const auto read = parsed<wire::Question>(kQuestion, bytes, kMostQuestion);
+  if (const auto* fault = std::get_if<Fault>(&read)) return *fault;
+  const auto& p = std::get<wire::Question>(read);
+  if (p.cluster().size() > kMostText || p.name().size() > kMostText)
+    return Fault{"reading it", "a name is too long"};
+  return Asked{p.cluster(), p.name(), p.nonce()};
+}
+
+std::string encode(const recovery::Offer& o) {
+  using namespace std::chrono;
+  wire::Offer p;
+  p.set_nonce(o.nonce);
+  p.set_by(o.by);
+  p.set_life(std::uint64_t(o.life));
+  p.set_in_service(o.in_service);
+  p.set_sure(o.sure);
+  p.set_view_age_ms(std::uint32_t(
+      std::clamp<std::int64_t>(duration_cast<milliseconds>(o.view_age).count(), 0, 0xffffffff)));
+  // Its stamp is nobody's: what it holds is as of now, and its pieces carry their ages.
+  if (o.in_service) {
+    snapshot::Snapshot inner;
+    inner.what = o.what;
+    p.set_learned(snapshot::encode(inner));
+  }
+  return snapshot::seal(kOffer, p.SerializeAsString());
+}
+
+std::variant<recovery::Offer, Fault> decode_offer(std::string_view bytes) {
+  const auto read = parsed<wire::Offer>(kOffer, bytes, kMostOffer);
+  if (const auto* fault = std::get_if<Fault>(&read)) return *fault;
+  const auto& p = std::get<wire::Offer>(read);
+  if (p.by().size() > kMostText) return Fault{"reading it", "a name is too long"};
+  recovery::Offer o;
+  o.nonce = p.nonce();
+  o.by = p.by();
+  o.life = membership::Life(p.life());
+  o.in_service = p.in_service();
+  o.sure = p.sure();
+  o.view_age = std::chrono::milliseconds(p.view_age_ms());
+  if (!o.in_service) return o;
+  auto inner = snapshot::decode_snapshot(p.learned());
+  if (const auto* fault = std::get_if<Fault>(&inner)) return *fault;
+  o.what = std::move(std::get<snapshot::Snapshot>(inner).what);
+  return o;
+}
+
+std::string framed(std::string_view bytes) {
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8) out += char(bytes.size() >> shift & 0xff);
+  return out.append(bytes);
+}
+
+std::optional<std::size_t> length_of(std::string_view head, std::size_t most) {
+  if (head.size() != 4) return std::nullopt;
+  std::size_t length = 0;
+  for (const char c : head) length = length << 8 | std::uint8_t(c);
+  if (length == 0 || length > most) return std::nullopt;
+  return length;
+}
+
+}  // namespace granitegap::learning_tcp
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -108,7 +108,7 @@
 }
 
 // Asks a process for its view; again and again where it is to be watched.
-int members(const std::string& text, bool json, bool watch) {
+int members(const std::string& text, bool json, bool watch, bool way_back) {
   const auto address = operators::read_address(text);
   if (!address) {
     std::fprintf(stderr, "granitegap: %s: expected a numeric address and a port, as 127.0.0.1:9101\n",
@@ -116,14 +116,14 @@
     return kUnusable;
   }
   for (;;) {
-    const auto reply = membership_udp::ask(*address, std::chrono::seconds(2));
+    const auto reply = membership_udp::ask(*address, std::chrono::seconds(2), way_back);
     if (!reply) {
       std::fprintf(stderr, "granitegap: no answer from %s within 2 s\n", text.c_str());
       return 1;
     }
-    std::fputs(
-        json ? (membership_udp::to_json(*reply) + "\n").c_str() : membership_udp::to_text(*reply).c_str(),
-        stdout);
+    const auto text_of = way_back ? membership_udp::way_back_text : membership_udp::to_text;
+    const auto json_of = way_back ? membership_udp::way_back_json : membership_udp::to_json;
+    std::fputs((json ? json_of(*reply) + "\n" : text_of(*reply)).c_str(), stdout);
     std::fflush(stdout);
     if (!watch) return 0;
     std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -169,9 +169,13 @@
   std::string asked;
   bool json = false, watch = false;
   auto* asking = app.add_subcommand("members", "Show the fleet as the process at ADDRESS sees it");
-  asking->add_option("ADDRESS", asked, "What its operator's file declares as membership.bind")->required();
-  asking->add_flag("--json", json, "One JSON object");
-  asking->add_flag("--watch", watch, "Every second, until ended");
+  auto* returning =
+      app.add_subcommand("recovery", "Show how the process at ADDRESS comes back; docs/recovery-operators.md");
+  for (auto* c : {asking, returning}) {
+    c->add_option("ADDRESS", asked, "What its operator's file declares as membership.bind")->required();
+    c->add_flag("--json", json, "One JSON object");
+    c->add_flag("--watch", watch, "Every second, until ended");
+  }
   std::string shown;
   auto* snapshots =
       app.add_subcommand("snapshot", "Look at what a process has written down; docs/recovery-operators.md");
@@ -186,7 +190,7 @@
     return app.exit(e) == 0 ? 0 : kUnusable;
   }
   if (*snapshots) return snapshot_file(shown, bool(*show));
-  if (*asking) return members(asked, json, watch);
+  if (*asking || *returning) return members(asked, json, watch, bool(*returning));
   return *checking ? check(file) : serve(options);
 }
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -447,6 +447,18 @@
   return apart == 0 || apart < kFine || now - told_at_ < options_.period * std::int64_t(kFineEvery);
 }
 
+void Member::tell(const Course& course, TimePoint now) {
+  auto same = told_.course;
+  same.offered = course.offered;
+  const int apart = std::abs(int(told_.course.offered) - int(course.offered));
+  if (same == course && (apart == 0 || ((apart < kFine || now - told_at_ < options_.period) &&
+                                        course.offered < 100)))
+    return;
+  told_.course = course;
+  ++told_.version;
+  spread_.add(own_record(true), now);
+}
+
 void Member::retell(TimePoint now) {
   told_.twin = twin_.value_or(Address{});
   told_.links.clear();
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -99,6 +99,8 @@
   // What this member says of itself; version, generation, zone, twin and links are its own.
   void tell(Stage stage, std::uint8_t warmth, std::uint8_t pressed, std::vector<Finding> findings,
             TimePoint now);
+  // The same of how it comes back; small changes of what it offers wait as those of load do.
+  void tell(const Course& course, TimePoint now);
   // Orderly: told to some until enough acknowledge it, or three times.
   void leave(TimePoint now);
   bool has_left() const { return leaving_ && (leave_rounds_ >= 3 || leave_acks_ >= 2); }
@@ -117,6 +119,7 @@
   const Told& told() const { return told_; }
   const Roster& roster() const { return roster_; }
   Hearing hearing() const { return health_.hearing(); }
+  TimePoint last_heard() const { return health_.last_heard(); }
   bool uncertain() const { return guard_.uncertain(); }
   bool majority() const { return guard_.majority(); }
   // The agreed fleet, this one included.
--- a/src/membership/own_health.h
+++ b/src/membership/own_health.h
@@ -43,6 +43,7 @@
   unsigned multiplier() const { return 1 + worse_; }
   bool listening(TimePoint now) const { return now < listen_until_; }
   // Anything came from others since then.
+  TimePoint last_heard() const { return heard_at_; }  // of any member
   bool heard_since(TimePoint t) const { return heard_at_ >= t; }
 
  private:
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -39,7 +39,7 @@
   v.peers.reserve(roster.known());
   for (Index i = 0; i < roster.places(); ++i)
     if (const auto& e = roster.at(i); e.known)
-      v.peers.push_back({e.name, e.hash, e.status, e.certain, e.told, e.address});
+      v.peers.push_back({e.name, e.hash, e.status, e.certain, e.told, e.address, e.life});
   v.agreed = member.agreed();
   v.majority = member.majority();
   v.uncertain = member.uncertain();
--- a/src/membership/views.h
+++ b/src/membership/views.h
@@ -20,6 +20,7 @@
     Status present{}, certain{};
     Told told;
     Address address;
+    Life life{};
   };
   std::uint64_t own_hash = 0;
   std::vector<Peer> peers;  // without this one
--- a/src/membership_udp/actor.cpp
+++ b/src/membership_udp/actor.cpp
@@ -89,6 +89,7 @@
     if (hooks_.own && !leaving_) {
       auto own = hooks_.own();
       member_.tell(own.stage, own.warmth, own.pressed, std::move(own.findings), now());
+      member_.tell(own.course, now());
     }
     member_.wake(now());
     pass_on();
@@ -212,11 +213,11 @@
 
 // ---- The question of `granitegap members` ----
 
-bool Actor::may_ask(const udp::endpoint& who) const {
-  if (who.address().is_loopback()) return true;
+bool Actor::may_ask(const asio::ip::address& who) const {
+  if (who.is_loopback()) return true;
   const auto& roster = member_.roster();
   for (Index i = 0; i < roster.places(); ++i)
-    if (roster.at(i).known && endpoint_of(roster.at(i).address).address() == who.address()) return true;
+    if (roster.at(i).known && endpoint_of(roster.at(i).address).address() == who) return true;
   return false;
 }
 
@@ -246,6 +247,7 @@
   l.stage = t->stage;
   l.warmth = t->warmth;
   l.pressed = t->pressed;
+  l.course = t->course;
   if (t->twin) l.twin = text_of(t->twin);
   for (const auto& fault : t->links) {
     std::string peer;
@@ -258,7 +260,7 @@
 }
 
 void Actor::answer(const Query& query, udp::socket& by) {
-  if (!may_ask(from_)) return;
+  if (!may_ask(from_.address())) return;
   Reply r;
   r.nonce = query.nonce;
   r.cluster = settings_.cluster;
@@ -269,6 +271,13 @@
   r.majority = member_.majority();
   r.uncertain = member_.uncertain();
   r.agreed = std::uint32_t(member_.agreed());
+  if (query.way_back) {
+    if (hooks_.way_back) r.way_back = hooks_.way_back();
+    r.last = true;
+    while (r.way_back && encode(r).size() > kMostDatagram && !r.way_back->sources.empty())
+      r.way_back->sources.pop_back();
+    return send(by, from_, encode(r));
+  }
   // By place, so that a list which changes between two questions names nobody twice.
   const auto& roster = member_.roster();
   auto next = query.from;
--- a/src/membership_udp/actor.h
+++ b/src/membership_udp/actor.h
@@ -32,11 +32,13 @@
     membership::Stage stage{};
     std::uint8_t warmth = 0, pressed = 0;
     std::vector<membership::Finding> findings;
+    membership::Course course;
   };
   struct Hooks {
     std::function<Own()> own;
     std::function<void(std::shared_ptr<const membership::View>)> view;  // a fresh one, at most once a wake-up
     std::function<TimePoint()> clock;
+    std::function<std::optional<WayBack>()> way_back;  // how it comes back; absent where it is not guided
   };
   // Throws boost::system::system_error where the address can't be bound.
   Actor(const boost::asio::any_io_executor& executor, Settings settings, std::string name, std::uint64_t life,
@@ -53,6 +55,10 @@
   bool has_left() const { return !leaving_ || member_.has_left(); }
   boost::asio::ip::udp::endpoint local() const { return socket_.local_endpoint(); }
   const membership::Member& member() const { return member_; }
+  // Whether whoever is at this address may ask about the fleet: loopback and members.
+  bool may_ask(const boost::asio::ip::address& who) const;
+  // Since the last datagram of a member that was believed.
+  Duration silence() const { return now() - std::min(member_.last_heard(), now()); }
   void also_call(std::vector<membership::Address> addresses) { member_.also_call(std::move(addresses)); }
 
  private:
@@ -64,7 +70,6 @@
   void pass_on();
   void send(boost::asio::ip::udp::socket& by, const boost::asio::ip::udp::endpoint& to,
             const std::string& bytes);
-  bool may_ask(const boost::asio::ip::udp::endpoint& who) const;
   void told(const membership::Change& change);
   void count(Bad bad);
   Line line_of(membership::Index i) const;
--- a/src/membership_udp/ask.cpp
+++ b/src/membership_udp/ask.cpp
@@ -16,7 +16,20 @@
 
 using namespace membership;
 
-std::optional<Reply> ask(const Address& address, std::chrono::milliseconds within) {
+namespace {
+
+constexpr const char* kReached[] = {"first_answer_ms", "good_health_ms", "half_ms",
+                                    "most_ms",         "full_ms",        "guess_ms"};
+
+std::string seconds(std::uint64_t ms) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1) << double(ms) / 1000 << " s";
+  return out.str();
+}
+
+}  // namespace
+
+std::optional<Reply> ask(const Address& address, std::chrono::milliseconds within, bool way_back) {
   namespace asio = boost::asio;
   using asio::ip::udp;
   using Clock = std::chrono::steady_clock;
@@ -29,7 +42,7 @@
   std::uint32_t from = 0;
   std::array<char, 2048> buffer{};
   while (Clock::now() < end) {
-    const Query query{std::uint32_t(random()) | 1, from};
+    const Query query{std::uint32_t(random()) | 1, from, way_back};
     boost::system::error_code error;
     socket.send_to(asio::buffer(encode(query)), to, 0, error);
     std::optional<Reply> got;
@@ -86,6 +99,8 @@
                              {"since_ms", l.since_ms},
                              {"warmth", l.warmth},
                              {"pressed", l.pressed},
+                             {"offered", l.course.offered},
+                             {"full_service_ms", l.course.full_ms},
                              {"unheard_from", l.unheard_from},
                              {"not_reaching", l.not_reaching}};
     if (!l.twin.empty()) m["twin"] = l.twin;
@@ -121,6 +136,9 @@
     column(l.reachable ? "yes" : "no", 9);
     column(std::to_string(l.since_ms / 1000) + " s", 9);
     if (l.certain != l.status) out << "was " << text_of(l.certain) << " when last certain; ";
+    if (l.course.phase > 0 && l.course.full_ms == 0)
+      out << "on its way back, offers " << int(l.course.offered) << " %; ";
+    if (l.course.full_ms > 0) out << "full service after " << seconds(l.course.full_ms) << "; ";
     for (const auto& n : l.unheard_from) out << "does not hear " << n << "; ";
     for (const auto& n : l.not_reaching) out << "does not reach " << n << "; ";
     if (!l.twin.empty()) out << "another process under this name at " << l.twin;
@@ -129,4 +147,47 @@
   return out.str();
 }
 
+std::string way_back_json(const Reply& r) {
+  nlohmann::ordered_json out{{"name", r.name}};
+  if (!r.way_back) {
+    out["guided"] = false;
+    return out.dump();
+  }
+  const auto& w = *r.way_back;
+  out["guided"] = true;
+  out["state"] = w.phase;
+  out["since_ms"] = w.since_ms;
+  out["kind"] = w.kind;
+  out["offered"] = double(w.offered) / 100;
+  out["proven"] = double(w.proven) / 100;
+  out["waits_bounded"] = w.bounded;
+  out["left_ms"] = w.left_ms;
+  out["ways_back"] = w.ways_back;
+  out["keyed_wait_ms"] = w.keyed_wait_ms;
+  for (std::size_t k = 0; k < w.reached_ms.size(); ++k) {
+    if (w.reached_ms[k] >= 0)
+      out[kReached[k]] = w.reached_ms[k];
+    else
+      out[kReached[k]] = nullptr;
+  }
+  out["learned_from"] = nlohmann::ordered_json::array();
+  for (const auto& s : w.sources) out["learned_from"].push_back({{"name", s.name}, {"age_ms", s.age_ms}});
+  return out.dump();
+}
+
+std::string way_back_text(const Reply& r) {
+  std::ostringstream out;
+  if (!r.way_back) return r.name + ": its way back is not guided\n";
+  const auto& w = *r.way_back;
+  out << r.name << ": " << w.phase << " for " << seconds(w.since_ms) << ", start of kind " << w.kind << ", offers "
+      << int(w.offered) << " % (proven " << int(w.proven) << " %)" << (w.bounded ? ", waits bounded" : "") << "\n";
+  if (w.left_ms > 0) out << "about " << seconds(w.left_ms) << " to full service\n";
+  if (w.keyed_wait_ms > 0) out << "keyed requests wait " << seconds(w.keyed_wait_ms) << "\n";
+  const char* names[] = {"first answer", "good health", "half", "0.95", "full service", "guessed"};
+  for (std::size_t k = 0; k < w.reached_ms.size(); ++k)
+    if (w.reached_ms[k] >= 0) out << names[k] << " after " << seconds(std::uint64_t(w.reached_ms[k])) << "\n";
+  for (const auto& s : w.sources) out << "learned from " << s.name << ", " << seconds(s.age_ms) << " ago\n";
+  return out.str();
+}
+
 }  // namespace granitegap::membership_udp
--- a/src/membership_udp/ask.h
+++ b/src/membership_udp/ask.h
@@ -1,4 +1,5 @@
-// `granitegap members`: asks a process for its view of the fleet.
+// `granitegap members` and `granitegap recovery`: ask a process for its view of the fleet, and for how it comes
+// back.
 #pragma once
 #include <chrono>
 #include <optional>
@@ -9,9 +10,13 @@
 namespace granitegap::membership_udp {
 
 // All lines in one Reply; absent where no whole answer came in time.
-std::optional<Reply> ask(const membership::Address& address, std::chrono::milliseconds within);
+std::optional<Reply> ask(const membership::Address& address, std::chrono::milliseconds within,
+                         bool way_back = false);
 // One object, or a table for a reader.
 std::string to_json(const Reply& reply);
 std::string to_text(const Reply& reply);
+// The same of how it comes back.
+std::string way_back_json(const Reply& reply);
+std::string way_back_text(const Reply& reply);
 
 }  // namespace granitegap::membership_udp
--- a/src/membership_udp/codec.cpp
+++ b/src/membership_udp/codec.cpp
@@ -29,6 +29,31 @@
   to->set_ip(a.ip.data(), a.v6 ? 16 : 4);
   to->set_port(a.port);
 }
+void put(const Course& c, wire::Course* to) {
+  to->set_phase(c.phase);
+  to->set_offered(c.offered);
+  to->set_donor_port(c.donor_port);
+  to->set_full_ms(c.full_ms);
+}
+
+void put(const WayBack& w, wire::WayBack* to) {
+  to->set_phase(w.phase);
+  to->set_kind(w.kind);
+  to->set_since_ms(w.since_ms);
+  to->set_offered(w.offered);
+  to->set_proven(w.proven);
+  to->set_left_ms(w.left_ms);
+  to->set_bounded(w.bounded);
+  to->set_ways_back(w.ways_back);
+  to->set_keyed_wait_ms(w.keyed_wait_ms);
+  for (const auto ms : w.reached_ms) to->add_reached_ms(ms);
+  for (const auto& s : w.sources) {
+    auto* source = to->add_sources();
+    source->set_name(s.name);
+    source->set_age_ms(s.age_ms);
+  }
+}
+
 void put(const Told& t, wire::Told* to) {
   to->set_version(t.version);
   to->set_stage(std::uint32_t(t.stage));
@@ -38,6 +63,7 @@
   to->set_zone(t.zone);
   if (t.twin) put(t.twin, to->mutable_twin());
   if (t.second) put(t.second, to->mutable_second());
+  if (t.course != Course{}) put(t.course, to->mutable_course());
   to->set_beyond(std::uint64_t(t.beyond));
   for (const auto& l : t.links) {
     auto* link = to->add_links();
@@ -116,6 +142,10 @@
     to.port = std::uint16_t(a.port());
     return to;
   }
+  Course course_of(const wire::Course& c) {
+    need(c.phase() <= kMostCourse && c.offered() <= 100 && c.donor_port() <= 65535);
+    return {std::uint8_t(c.phase()), std::uint8_t(c.offered()), std::uint16_t(c.donor_port()), c.full_ms()};
+  }
   Told told_of(const wire::Told& t) {
     need(t.stage() <= std::uint32_t(Stage::leaving) && t.warmth() <= 100 && t.pressed() <= 100);
     need(t.zone().size() <= kMostZone && t.links_size() <= int(kMostLinkFaults) &&
@@ -130,6 +160,7 @@
     to.zone = t.zone();
     if (t.has_twin()) to.twin = address_of(t.twin());
     if (t.has_second()) to.second = address_of(t.second());
+    if (t.has_course()) to.course = course_of(t.course());
     to.beyond = Life(t.beyond());
     for (const auto& l : t.links()) to.links.push_back({l.peer(), l.inward()});
     for (const auto& f : t.findings()) to.findings.push_back({f.endpoint(), f.out()});
@@ -180,6 +211,23 @@
         return Tidings{};
     }
   }
+  WayBack way_back_of(const wire::WayBack& w) {
+    WayBack to;
+    need(w.offered() <= 100 && w.proven() <= 100 && w.reached_ms_size() == int(to.reached_ms.size()));
+    if (!good) return to;
+    to.phase = w.phase();
+    to.kind = w.kind();
+    to.since_ms = w.since_ms();
+    to.left_ms = w.left_ms();
+    to.keyed_wait_ms = w.keyed_wait_ms();
+    to.offered = std::uint8_t(w.offered());
+    to.proven = std::uint8_t(w.proven());
+    to.bounded = w.bounded();
+    to.ways_back = w.ways_back();
+    std::copy(w.reached_ms().begin(), w.reached_ms().end(), to.reached_ms.begin());
+    for (const auto& s : w.sources()) to.sources.push_back({s.name(), s.age_ms()});
+    return to;
+  }
   Reply reply_of(const wire::Reply& r) {
     Reply to;
     to.nonce = r.nonce();
@@ -209,12 +257,14 @@
                 l.since_ms(),
                 std::uint8_t(l.warmth()),
                 std::uint8_t(l.pressed()),
+                l.has_course() ? course_of(l.course()) : Course{},
                 {},
                 {}};
       line.unheard_from.assign(l.unheard_from().begin(), l.unheard_from().end());
       line.not_reaching.assign(l.not_reaching().begin(), l.not_reaching().end());
       to.lines.push_back(std::move(line));
     }
+    if (r.has_way_back()) to.way_back = way_back_of(r.way_back());
     return to;
   }
 };
@@ -246,6 +296,7 @@
   wire::Packet p;
   p.mutable_query()->set_nonce(q.nonce);
   p.mutable_query()->set_from(q.from);
+  p.mutable_query()->set_way_back(q.way_back);
   return seal(p);
 }
 
@@ -279,7 +330,9 @@
     for (const auto& n : l.unheard_from) line.add_unheard_from(n);
     for (const auto& n : l.not_reaching) line.add_not_reaching(n);
     line.set_certain(std::uint32_t(l.certain));
+    if (l.course != Course{}) put(l.course, line.mutable_course());
   }
+  if (r.way_back) put(*r.way_back, to.mutable_way_back());
   return seal(p);
 }
 
@@ -291,7 +344,7 @@
   if (sum != XXH3_64bits(bytes.data() + kHead, bytes.size() - kHead)) return Bad::checksum;
   wire::Packet p;
   if (!p.ParseFromArray(bytes.data() + kHead, int(bytes.size() - kHead))) return Bad::malformed;
-  if (p.has_query()) return Query{p.query().nonce(), p.query().from()};
+  if (p.has_query()) return Query{p.query().nonce(), p.query().from(), p.query().way_back()};
   Reader read;
   if (p.has_reply()) {
     auto reply = read.reply_of(p.reply());
--- a/src/membership_udp/codec.h
+++ b/src/membership_udp/codec.h
@@ -1,7 +1,9 @@
 // Datagrams as bytes: protobuf inside an envelope with a format version and a checksum. No socket.
 #pragma once
+#include <array>
 #include <boost/asio/ip/address.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -20,6 +22,21 @@
 // What `granitegap members` asks and gets.
 struct Query {
   std::uint32_t nonce = 0, from = 0;
+  bool way_back = false;  // only how it comes back, as `granitegap recovery` asks
+};
+struct WayBack {
+  std::string phase, kind;
+  std::uint64_t since_ms = 0, left_ms = 0, keyed_wait_ms = 0;
+  std::uint8_t offered = 100, proven = 100;
+  bool bounded = false;
+  std::uint32_t ways_back = 0;
+  // First answer, good health, half, 0.95, full, and the guess of full; -1: not yet.
+  std::array<std::int64_t, 6> reached_ms{-1, -1, -1, -1, -1, -1};
+  struct Source {
+    std::string name;
+    std::uint64_t age_ms = 0;
+  };
+  std::vector<Source> sources;
 };
 struct Line {
   std::string name, address, zone, twin;
@@ -29,6 +46,7 @@
   bool reachable = true;
   std::uint64_t since_ms = 0;
   std::uint8_t warmth = 0, pressed = 0;
+  membership::Course course;
   std::vector<std::string> unheard_from, not_reaching;
 };
 struct Reply {
@@ -41,6 +59,7 @@
   bool majority = false, uncertain = false;
   std::uint32_t agreed = 0;
   std::vector<Line> lines;
+  std::optional<WayBack> way_back;
 };
 
 std::string encode(const membership::Datagram& datagram, std::string_view cluster);
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -54,11 +54,24 @@
     to.spec.remember_failures = top["remember_failures"].as_span();
     to.connections = std::size_t(top["connections"].as_int());
     if (const auto* m = top.find("membership")) to.membership = membership(*m);
+    for (std::size_t i = 0; i < dependencies.size(); ++i)
+      if (to.spec.dependencies[i].fleet_open > 0 && !to.membership)
+        fail(dependencies[i]["fleet_open"], "dependencies[" + std::to_string(i) + "].fleet_open",
+             "expected membership beside it: without it nobody knows how many share it");
     if (const auto* r = top.find("recovery")) {
       const auto* folder = r->find("folder");
       to.recovery = Declared::Recovery{(*r)["after_lost_memory"].as_text() == "wait_out",
                                        folder ? folder->as_text() : std::string(),
-                                       (*r)["clock_back_most"].as_span(), (*r)["snapshot_every"].as_span()};
+                                       (*r)["clock_back_most"].as_span(),
+                                       (*r)["snapshot_every"].as_span(),
+                                       (*r)["guided"].as_bool(),
+                                       (*r)["first"].as_number(),
+                                       (*r)["growth"].as_number(),
+                                       (*r)["wait_bound"].as_number(),
+                                       (*r)["learn_most"].as_span(),
+                                       std::uint16_t((*r)["donate_port"].as_int()),
+                                       (*r)["pause_most"].as_span(),
+                                       (*r)["calm_for"].as_span()};
     }
   }
 
@@ -101,6 +114,7 @@
     d.hedge_after = v["hedge_after"].as_number();
     d.least_open = whole("least_open");
     d.most_open = whole("most_open");
+    d.fleet_open = whole("fleet_open");
     d.most_waiting = whole("most_waiting");
     d.most_ejected = v["most_ejected"].as_number();
     d.eject_for = v["eject_for"].as_span();
--- a/src/operators/operator_file.h
+++ b/src/operators/operator_file.h
@@ -25,6 +25,11 @@
     bool wait_out = true;  // keyed requests, after memory was lost
     std::string folder;    // empty: none
     Duration clock_back_most{}, snapshot_every{};
+    bool guided = true;  // the return to full service
+    double first = 0.1, growth = 1.5, wait_bound = 1;
+    Duration learn_most{};
+    std::uint16_t donate_port = 0;
+    Duration pause_most{}, calm_for{};
     bool operator==(const Recovery&) const = default;
   };
   std::optional<Recovery> recovery;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -44,6 +44,17 @@
   if (const auto* d = extras.declared ? &*extras.declared : nullptr;
       d && d->recovery && d->recovery->wait_out)
     edge.wait_out_lost_memory(d->recovery->clock_back_most, started);
+  if (const auto* d = extras.declared ? &*extras.declared : nullptr;
+      d && d->recovery && d->recovery->guided) {
+    recovery::CourseRules rules;
+    rules.first = d->recovery->first;
+    rules.growth = d->recovery->growth;
+    rules.wait_bound = d->recovery->wait_bound;
+    rules.learn_most = d->recovery->learn_most;
+    rules.pause_most = d->recovery->pause_most;
+    rules.calm_for = d->recovery->calm_for;
+    edge.guide_return(rules, started);
+  }
   return edge;
 }
 
@@ -71,6 +82,7 @@
   if (!extras_.declared) return;
   if (extras_.declared->membership) join_fleet();
   if (const auto& r = extras_.declared->recovery; r && !r->folder.empty()) keep_learned(*r);
+  if (const auto& r = extras_.declared->recovery; r && r->guided && fleet_) learn_from_others();
   // Ends of calls always find room: the limits on open calls bound their number.
   caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
@@ -85,22 +97,84 @@
     if (fleet_) fleet_->also_call(what.members);
     module_.mailbox().post_control(edge::LearnedNews{std::move(what)});
   };
-  hooks.collect = [this] {
-    auto what = module_.edge().learned(clocks_().steady);
-    what.by = config_.name;
-    if (!fleet_) return what;
-    const auto& member = fleet_->member();
-    what.life = std::uint64_t(member.self().life);
-    const auto& roster = member.roster();
-    for (membership::Index i = 0; i < roster.places(); ++i)
-      if (const auto& e = roster.at(i); e.known && e.certain == membership::Status::alive)
-        what.members.push_back(e.address);
-    return what;
-  };
+  hooks.collect = [this] { return collect(); };
   keeper_ = std::make_unique<snapshot::Keeper>(context_.get_executor(), recovery.folder, config_.name,
                                                recovery.snapshot_every, std::move(hooks), log_);
 }
 
+learned::Learned Server::collect() const {
+  auto what = module_.edge().learned(clocks_().steady);
+  what.by = config_.name;
+  if (!fleet_) return what;
+  const auto& member = fleet_->member();
+  what.life = std::uint64_t(member.self().life);
+  const auto& roster = member.roster();
+  for (membership::Index i = 0; i < roster.places(); ++i)
+    if (const auto& e = roster.at(i); e.known && e.certain == membership::Status::alive)
+      what.members.push_back(e.address);
+  return what;
+}
+
+std::optional<membership_udp::WayBack> Server::way_back() const {
+  const auto* course = module_.edge().course();
+  if (!course) return std::nullopt;
+  const auto now = clocks_().steady;
+  const auto ms = [](Duration d) { return std::chrono::duration_cast<milliseconds>(d).count(); };
+  membership_udp::WayBack w;
+  w.phase = recovery::text_of(course->phase());
+  w.kind = recovery::text_of(course->kind());
+  w.since_ms = std::uint64_t(ms(now - std::min(course->since(), now)));
+  w.left_ms = std::uint64_t(ms(course->left(now)));
+  w.keyed_wait_ms = std::uint64_t(ms(module_.edge().keyed_wait(now)));
+  w.offered = std::uint8_t(100 * course->offered());
+  w.proven = std::uint8_t(100 * course->proven());
+  w.bounded = course->wait_bound().has_value();
+  w.ways_back = course->ways_back();
+  const auto& m = course->milestones();
+  const std::optional<Duration>* reached[] = {&m.first_answer, &m.good_health, &m.half,
+                                              &m.most,         &m.full,        &m.estimate};
+  for (std::size_t k = 0; k < w.reached_ms.size(); ++k)
+    if (*reached[k]) w.reached_ms[k] = ms(**reached[k]);
+  if (learning_)
+    for (const auto& name : learning_->from())
+      w.sources.push_back({name, std::uint64_t(ms(now - std::min(learning_->learned_at(), now)))});
+  return w;
+}
+
+void Server::learn_from_others() {
+  const auto& m = *extras_.declared->membership;
+  const auto& member = fleet_->member();
+  learning_tcp::Actor::Place place{m.cluster, config_.name, m.zone, membership_udp::endpoint_of(m.bind).address(),
+                                   extras_.declared->recovery->donate_port,
+                                   config_.seed ^ std::uint64_t(member.self().life)};
+  recovery::LearningRules rules;
+  rules.most = extras_.declared->recovery->learn_most;
+  learning_tcp::Actor::Hooks hooks;
+  hooks.clock = [this] { return clocks_().steady; };
+  hooks.offer = [this] {
+    const auto& me = fleet_->member();
+    recovery::Offer o;
+    o.by = config_.name;
+    o.life = me.self().life;
+    const auto* course = module_.edge().course();
+    o.in_service = course && course->phase() == recovery::Phase::full;
+    o.sure = me.majority() && !me.uncertain() && me.hearing() == membership::Hearing::ok;
+    o.view_age = fleet_->silence();
+    if (o.in_service) o.what = collect();
+    return o;
+  };
+  hooks.may_ask = [this](const asio::ip::address& who) { return fleet_->may_ask(who); };
+  hooks.learned = [this](learned::Learned what, std::size_t sources) {
+    if (sources > 0) {
+      fleet_->also_call(what.members);
+      module_.mailbox().post_control(edge::LearnedNews{std::move(what), sources});
+    }
+    module_.mailbox().post_control(edge::LearningOver{sources});
+  };
+  learning_ = std::make_unique<learning_tcp::Actor>(context_.get_executor(), std::move(place), rules,
+                                                    std::move(hooks), log_);
+}
+
 // A life of its own at each start: the platform's seed is new then, and the clock tells most lives apart.
 void Server::join_fleet() {
   const auto now = clocks_();
@@ -110,11 +184,14 @@
   const auto life = random();
   membership_udp::Actor::Hooks hooks;
   hooks.clock = [this] { return clocks_().steady; };
+  hooks.way_back = [this] { return way_back(); };
   hooks.own = [this] {
     auto s = module_.edge().standing(clocks_().steady);
-    return membership_udp::Actor::Own{s.stage, s.warmth, s.pressed, std::move(s.findings)};
+    if (learning_) s.course.donor_port = learning_->port();
+    return membership_udp::Actor::Own{s.stage, s.warmth, s.pressed, std::move(s.findings), s.course};
   };
   hooks.view = [this](std::shared_ptr<const membership::View> view) {
+    if (learning_) learning_->view(*view);
     module_.mailbox().post_control(edge::FleetNews{std::move(view)});
   };
   fleet_ =
@@ -135,6 +212,13 @@
     spawn(fleet_->run());
   }
   if (keeper_) spawn(keeper_->run());
+  if (learning_) {
+    learning_->begin();
+    spawn(learning_->serve());
+    spawn(learning_->learn());
+  } else if (module_.edge().course()) {
+    module_.mailbox().post_control(edge::LearningOver{});  // there is nobody to ask
+  }
   const auto at = local();
   log_.line("listening on " + at.address().to_string() + ":" + std::to_string(at.port()),
             {{"event", "listening"}, {"port", std::int64_t(at.port())}});
@@ -175,6 +259,13 @@
   if (caller_) caller_->abandon(drop.id);
 }
 
+void Server::carry_out(edge::AskOthers&&) {
+  if (learning_)
+    learning_->begin();
+  else
+    module_.mailbox().post_control(edge::LearningOver{});
+}
+
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
   log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left",
@@ -273,6 +364,7 @@
   log_.line(all ? "left: all answered" : "left: with answers unsent",
             {{"event", all ? "left" : "left_unsent"}});
   if (caller_) caller_->close_all();
+  if (learning_) learning_->close();
   context_.stop();
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -9,6 +9,7 @@
 #include "deps_http/caller.h"
 #include "edge/module_actor.h"
 #include "kernel/link.h"
+#include "learning_tcp/actor.h"
 #include "log/logger.h"
 #include "membership_udp/actor.h"
 #include "net/listener.h"
@@ -51,8 +52,12 @@
   void carry_out(edge::Remark&& remark);
   void carry_out(edge::CallBelow&& call);
   void carry_out(edge::DropCall&& drop);
+  void carry_out(edge::AskOthers&& ask);
   boost::asio::awaitable<void> leave();
   void join_fleet();
+  void learn_from_others();
+  learned::Learned collect() const;
+  std::optional<membership_udp::WayBack> way_back() const;
   void keep_learned(const operators::Declared::Recovery& recovery);
 
   static edge::Edge make_edge(const config::Config& config, const Extras& extras, TimePoint started);
@@ -69,6 +74,7 @@
   std::optional<deps_http::Caller> caller_;
   std::unique_ptr<membership_udp::Actor> fleet_;  // only where it is declared
   std::unique_ptr<snapshot::Keeper> keeper_;      // the same
+  std::unique_ptr<learning_tcp::Actor> learning_;
   edge::ModuleActor::Clocks clocks_;
   bool leaving_ = false;
 };
--- a/tests/deps_test.cpp
+++ b/tests/deps_test.cpp
@@ -349,6 +349,40 @@
   expect_sound(w);
 }
 
+// A fleet's limit is shared over the members that are there; in doubt all that were agreed on count, and before
+// there is a view one call at a time is all.
+TEST(Gather, AFleetsLimitIsSharedOverTheLive) {
+  auto spec = two_dependencies();
+  spec.gathers[0].parts.resize(1);
+  spec.dependencies[0].fleet_open = 24;
+  World w(spec, 1);
+  EXPECT_EQ(w.gatherer.limit(0), 1u);
+  const auto view = [&](int alive, int dead, bool majority) {
+    auto v = std::make_shared<membership::View>();
+    for (int k = 0; k < alive + dead; ++k) {
+      auto& p = v->peers.emplace_back();
+      p.hash = std::uint64_t(k + 1);
+      p.present = p.certain = k < alive ? membership::Status::alive : membership::Status::dead;
+    }
+    v->agreed = std::size_t(1 + alive + dead);
+    v->majority = majority;
+    w.gatherer.fleet(v, w.now);
+  };
+  view(3, 0, true);
+  EXPECT_EQ(w.gatherer.limit(0), 6u);
+  view(7, 4, true);
+  EXPECT_EQ(w.gatherer.limit(0), 3u);
+  view(3, 8, false);
+  EXPECT_EQ(w.gatherer.limit(0), 2u);
+  view(47, 0, true);
+  EXPECT_EQ(w.gatherer.limit(0), 1u);
+  for (std::uint64_t k = 0; k < 5; ++k) w.ask(k);
+  EXPECT_EQ(w.open_calls(), 1u);
+  view(5, 0, true);  // room again: those that waited go on
+  EXPECT_EQ(w.gatherer.limit(0), 4u);
+  EXPECT_EQ(w.gatherer.open_calls(0), 4u);
+}
+
 TEST(Gather, NobodyWaitsForASlotThatCannotBeFreeInTime) {
   auto spec = two_dependencies();
   spec.dependencies[0].least_open = spec.dependencies[0].most_open = 2;
--- a/tests/membership_codec_test.cpp
+++ b/tests/membership_codec_test.cpp
@@ -32,9 +32,12 @@
            {},
            {},
            {},
+           {},
            Life(random()),
            {},
            {}};
+    if (upto(1))
+      t.course = {std::uint8_t(upto(kMostCourse)), std::uint8_t(upto(100)), std::uint16_t(random()), any32()};
     t.zone = upto(1) ? name(kMostZone) : "";
     if (upto(1)) t.twin = address();
     if (upto(1)) t.second = address();
@@ -160,12 +163,22 @@
                          99,
                          50,
                          20,
+                         {3, 45, 9001, 0},
                          {"n3"},
                          {}});
+  reply.way_back.emplace();
+  reply.way_back->phase = "ramping";
+  reply.way_back->reached_ms[2] = 1500;
+  reply.way_back->sources = {{"n4", 20}};
   const auto r = decode(encode(reply), "other");
   ASSERT_TRUE(std::holds_alternative<Reply>(r));
   EXPECT_EQ(std::get<Reply>(r).lines.at(0).unheard_from.at(0), "n3");
   EXPECT_EQ(std::get<Reply>(r).lines.at(0).status, Status::suspect);
+  EXPECT_EQ(std::get<Reply>(r).lines.at(0).course.offered, 45);
+  ASSERT_TRUE(std::get<Reply>(r).way_back);
+  EXPECT_EQ(std::get<Reply>(r).way_back->reached_ms, reply.way_back->reached_ms);
+  EXPECT_EQ(std::get<Reply>(r).way_back->sources.at(0).name, "n4");
+  EXPECT_TRUE(std::get<Query>(decode(encode(Query{7, 3, true}), "any")).way_back);
 }
 
 }  // namespace
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 
 #include "fleet/simulated.h"
 
@@ -17,8 +18,23 @@
   explicit Fleet(std::size_t n, std::uint64_t seed = 1, Options options = {}) : Simulated(options, seed, n) {
     on_change = [this](Node who, const Change& c) {
       if (c.own && c.kind == ChangeKind::died) dead_by[c.name].insert(who);
+      never_back(who, c);
     };
   }
+  // In every test here: what one life of a member holds of another never goes back, until it has forgotten it.
+  void never_back(Node who, const Change& c) {
+    if (c.kind == ChangeKind::forgotten) {
+      held.erase({who, member(who).self().life, c.name});
+      return;
+    }
+    const auto& roster = member(who).roster();
+    const auto i = roster.find(c.name);
+    if (i == kNobody || !roster.at(i).known) return;
+    auto& highest = held[{who, member(who).self().life, c.name}];
+    EXPECT_GE(roster.at(i).incarnation, highest) << name(who) << " of " << c.name;
+    highest = roster.at(i).incarnation;
+    ++changes_held;
+  }
   void form() {
     start_all(1s);
     ASSERT_TRUE(run_until([&] { return agree(); }, 30s));
@@ -45,11 +61,14 @@
     return weather().add(r);
   }
   std::map<std::string, std::set<Node>> dead_by;
+  std::map<std::tuple<Node, Life, std::string>, Incarnation> held;
+  std::size_t changes_held = 0;
 };
 
 TEST(Membership, AFleetAgreesAndStaysCalm) {
   Fleet f(24);
   f.form();
+  EXPECT_GE(f.changes_held, 24u * 23u);  // the fixture's own check has seen every join
   f.run_for(60s);
   EXPECT_TRUE(f.agree());
   EXPECT_EQ(f.figures().false_dead, 0u);
--- a/tools/fleet/crowd.cpp
+++ b/tools/fleet/crowd.cpp
@@ -211,6 +211,7 @@
     asked.cls = cls.name;
     asked.body = token.empty() ? "x" : "of " + token;
     asked.token = token;
+    asked.est_ms = options.est_ms;
     char rid[17];
     std::snprintf(rid, sizeof rid, "%016llx", static_cast<unsigned long long>(options.seed << 40 | ++rids));
     line->out += standin::request_frame(asked, stream, int(who), rid, t0);
--- a/tools/fleet/crowd.h
+++ b/tools/fleet/crowd.h
@@ -38,6 +38,7 @@
   std::vector<CrowdClass> classes;
   std::array<double, kHabits> habits{1, 1, 1};          // weights
   Duration patience = std::chrono::milliseconds(1200);  // of one try
+  int est_ms = 20;                                      // core time, as each request tells it
 };
 
 // One first try and what became of it.
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -137,9 +137,9 @@
   p.name = name;
   p.alias = alias;
   // Held until the network has its own port: guards against both getting the same.
-  auto held = hold_port(io_, own_address(number), number);
+  auto held = hold_port(io_, options_.ipv6 ? asio::ip::address_v6::loopback() : own_address(number), number);
   p.bound = held.local_endpoint();
-  p.advertised = network_->add(alias, p.bound);
+  p.advertised = options_.ipv6 ? p.bound : network_->add(alias, p.bound);
   held.close();
   if (options_.second_paths) {
     p.second = hold_port(io_, asio::ip::address_v6::loopback(), number).local_endpoint();
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -39,6 +39,7 @@
   bool plain = false;                                        // membership's plain policy, to measure against
   Duration repeat_window = std::chrono::milliseconds(8949);  // of keyed requests
   bool second_paths = false;                                 // IPv6 on loopback, past the stand-in network
+  bool ipv6 = false;          // the first paths too, straight: the stand-in network stands in between nobody
   std::string clock_library;  // path of granitegap_clock_shift, for shift_clock()
   Duration run_cost = std::chrono::milliseconds(20);
   int cores = 2;           // of each stand-in kernel
--- a/tools/standin/caller.cpp
+++ b/tools/standin/caller.cpp
@@ -50,7 +50,7 @@
   field("t0", std::to_string(t0_ms));
   field("peer", std::to_string(proxy));
   field("acct", "turistaterkep");
-  field("est", "20");
+  field("est", std::to_string(a.est_ms));
   field("mem", "24.5");
   field("prio", "0.5");
   if (!a.token.empty()) field("token", a.token);
--- a/tools/standin/caller.h
+++ b/tools/standin/caller.h
@@ -13,6 +13,7 @@
 struct Asked {
   std::string cls = "tile", body = "x", token;  // a token: in keyed classes
   std::chrono::milliseconds written_late{};     // t0 lies so far back
+  int est_ms = 20;                              // core time, as the client guesses it
 };
 struct Answered {
   int code = -1;  // 0 served, 1 refused, 2 failed
