--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -130,8 +130,8 @@
   double pace = 1;                   // time on the cores per unit of hinted work
   TimePoint last_refill, regime_since;
   bool overloaded = false;
-  std::optional<double> most_wait;  // a bound set by the host
-  double offered = 1;               // of the credit, set by the host
+  std::optional<double> most_wait;       // a bound set by the host
+  double offered = 1;                    // of the credit, set by the host
   double on_cores = 0, paced_crowd = 0;  // the gauge; its mean over the runs that make up the pace
   double best_pace = 0;                  // the least that the pace has been
   std::size_t paced_runs = 0;
@@ -485,8 +485,9 @@
     if (under_the_bar(r)) return Reason::waits_too_long;
     if (count(Phase::running) < int(limit) && count(Phase::held) <= 1) return std::nullopt;
     if (oldest_wait(r.in.cls) > kDropRatio * sec(target(r))) return Reason::waits_too_long;
-    // By what the cores can do, not by the oldest wait: guards against a burst that is taken while the hold is
-    // empty and keeps everybody waiting past the patience of their callers, who are served when they are gone.
+    // By what the cores can do, not by the oldest wait: guards against a burst that is taken while the hold
+    // is empty and keeps everybody waiting past the patience of their callers, who are served when they are
+    // gone.
     if (const double ahead = work_ahead(r) / cores; most_wait && ahead > *most_wait * sec(target(r))) {
       arrival_ratio = std::max(arrival_ratio, ahead / sec(target(r)));
       return Reason::waits_too_long;
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -624,9 +624,9 @@
   return mine;
 }
 
-// An even share for each member that is there. Where it can't be told who is, all that were agreed on count as
-// there, and before there is any view one call at a time is all: guards against a fleet that comes back as one
-// and falls on what it had emptied, each member with the whole limit.
+// An even share for each member that is there. Where it can't be told who is, all that were agreed on count
+// as there, and before there is any view one call at a time is all: guards against a fleet that comes back as
+// one and falls on what it had emptied, each member with the whole limit.
 void Gatherer::share_limits() {
   std::uint32_t members = 0;
   if (fleet_) {
--- a/src/deps/limits.h
+++ b/src/deps/limits.h
@@ -66,7 +66,7 @@
   bool may_probe(TimePoint now) const { return out_ && !probing_ && now >= next_probe_; }
   void probe_started() { probing_ = true; }
   void probe_now(TimePoint now) { next_probe_ = std::min(next_probe_, now); }  // somebody found it back
-  void probe_lost() { probing_ = false; }  // abandoned, its end unknown
+  void probe_lost() { probing_ = false; }                                      // abandoned, its end unknown
   TimePoint since() const { return since_; }
   void reset(Duration probe_every, Duration probe_most);
 
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -13,7 +13,7 @@
 // Before the end of the grace: the notice is heard a little after it was given.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(100);
 constexpr Duration kCourseEvery = std::chrono::milliseconds(100);
-constexpr Duration kBootsApart = std::chrono::seconds(2);  // between two words of one start
+constexpr Duration kBootsApart = std::chrono::seconds(2);   // between two words of one start
 constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
 std::vector<KeyTable::Rules> key_rules(const Settings& settings) {
@@ -180,7 +180,7 @@
         remark(std::string("recovery: this start is ") +
                    (news.of == recovery::Kind::alone  ? "one among healthy ones"
                     : news.of == recovery::Kind::wave ? "one of a wave"
-                                                              : "one of most of the fleet's"),
+                                                      : "one of most of the fleet's"),
                "recovery_kind", recovery::text_of(news.of));
         break;
       case News::full:
@@ -196,7 +196,7 @@
         break;
       case News::guarding:
         remark(news.guarded ? "recovery: waits are bounded while others come back or callers press"
-                                   : "recovery: waits are not bounded any more",
+                            : "recovery: waits are not bounded any more",
                "recovery_guard", news.guarded ? "on" : "off");
         break;
     }
@@ -650,8 +650,9 @@
   auto& o = open_.at(id);
   events_.emplace_back(RunEnded{id, how, took});
   if (course_ && how != RunResult::moot)
-    course_->ran(how == RunResult::ok && !o.answered && now_.unix - o.request.reached <= aim_of(o.request.cls),
-                 now_.steady);
+    course_->ran(
+        how == RunResult::ok && !o.answered && now_.unix - o.request.reached <= aim_of(o.request.cls),
+        now_.steady);
   answer(o, how == RunResult::ok ? Outcome::served : Outcome::failed, result);
   end(id, how == RunResult::ok ? KeyTable::RunState::good : KeyTable::RunState::bad, std::move(result));
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -52,7 +52,8 @@
     membership::Course course;
   };
   Standing standing(TimePoint now) const;
-  // How long keyed requests still wait for what an earlier life may have run; the greatest where no end is seen.
+  // How long keyed requests still wait for what an earlier life may have run; the greatest where no end is
+  // seen.
   Duration keyed_wait(TimePoint now) const;
   // What another life of this process could use.
   learned::Learned learned(TimePoint now) const;
@@ -177,7 +178,7 @@
   std::mt19937_64 spread_;                           // of advice while it comes back
   BoundSet bound_;                                   // as the module holds it
   TimePoint course_at_{};
-  TimePoint born_{};                                 // the kernel
+  TimePoint born_{};  // the kernel
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
   std::size_t unanswered_ = 0;
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -197,7 +197,7 @@
   std::string_view event;  // in a word, and whom it is about: for lines that machines read
   std::string subject;
 };
-using Output =
-    std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow, DropCall, AskOthers>;
+using Output = std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow,
+                            DropCall, AskOthers>;
 
 }  // namespace granitegap::edge
--- a/src/learning_tcp/actor.cpp
+++ b/src/learning_tcp/actor.cpp
@@ -27,7 +27,8 @@
 // Closes a socket at its time, whatever it is doing; disarmed when it goes.
 class Deadline {
  public:
-  Deadline(asio::ip::tcp::socket& socket, std::chrono::steady_clock::time_point at) : timer_(socket.get_executor(), at) {
+  Deadline(asio::ip::tcp::socket& socket, std::chrono::steady_clock::time_point at)
+      : timer_(socket.get_executor(), at) {
     timer_.async_wait([alive = std::weak_ptr<int>(alive_), &socket](const error_code& error) {
       error_code ignored;
       if (!error && !alive.expired()) socket.close(ignored);
--- a/src/learning_tcp/actor.h
+++ b/src/learning_tcp/actor.h
@@ -1,9 +1,9 @@
 // Learning from the running, over TCP between members: the door where others ask, and the one who asks.
 //
-// The door gives so many answers a second and serves so many at once; whoever comes beyond that, dawdles or says
-// what is no question is closed without a word, and asks somebody else. Only loopback and members' addresses are
-// heard. Sizes and silence are bounded on both sides; nothing here waits for a peer without an end. Starts no
-// thread.
+// The door gives so many answers a second and serves so many at once; whoever comes beyond that, dawdles or
+// says what is no question is closed without a word, and asks somebody else. Only loopback and members'
+// addresses are heard. Sizes and silence are bounded on both sides; nothing here waits for a peer without an
+// end. Starts no thread.
 #pragma once
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -42,7 +42,7 @@
   std::uint16_t port() const { return door_.local_endpoint().port(); }
   boost::asio::awaitable<void> serve();
   boost::asio::awaitable<void> learn();
-  void begin();                              // asks anew
+  void begin();                             // asks anew
   void view(const membership::View& view);  // the newest
   void close();
   // Whom it was learned from the last time, and when.
--- a/src/learning_tcp/codec.h
+++ b/src/learning_tcp/codec.h
@@ -1,5 +1,5 @@
-// The bytes of a question and of an offer; no I/O. What can't be believed is a Fault, and is counted by whoever
-// reads it.
+// The bytes of a question and of an offer; no I/O. What can't be believed is a Fault, and is counted by
+// whoever reads it.
 #pragma once
 #include <optional>
 #include <string>
@@ -11,7 +11,8 @@
 
 namespace granitegap::learning_tcp {
 
-inline constexpr std::size_t kMostQuestion = 256, kMostOffer = snapshot::kMostSnapshot + 1024;  // bytes, sealed
+inline constexpr std::size_t kMostQuestion = 256,
+                             kMostOffer = snapshot::kMostSnapshot + 1024;  // bytes, sealed
 
 struct Asked {
   std::string cluster, name;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -169,8 +169,8 @@
   std::string asked;
   bool json = false, watch = false;
   auto* asking = app.add_subcommand("members", "Show the fleet as the process at ADDRESS sees it");
-  auto* returning =
-      app.add_subcommand("recovery", "Show how the process at ADDRESS comes back; docs/recovery-operators.md");
+  auto* returning = app.add_subcommand(
+      "recovery", "Show how the process at ADDRESS comes back; docs/recovery-operators.md");
   for (auto* c : {asking, returning}) {
     c->add_option("ADDRESS", asked, "What its operator's file declares as membership.bind")->required();
     c->add_flag("--json", json, "One JSON object");
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -451,8 +451,8 @@
   auto same = told_.course;
   same.offered = course.offered;
   const int apart = std::abs(int(told_.course.offered) - int(course.offered));
-  if (same == course && (apart == 0 || ((apart < kFine || now - told_at_ < options_.period) &&
-                                        course.offered < 100)))
+  if (same == course &&
+      (apart == 0 || ((apart < kFine || now - told_at_ < options_.period) && course.offered < 100)))
     return;
   told_.course = course;
   ++told_.version;
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -57,10 +57,11 @@
 
 // How a member comes back from a restart, where it says so (recovery/course.h).
 struct Course {
-  std::uint8_t phase = 0;        // 0 where it does not, else its phase and one
-  std::uint8_t offered = 100;    // hundredths of what it would announce
-  std::uint16_t donor_port = 0;  // TCP, on the address it advertises: tells others what it has learned; 0: nowhere
-  std::uint32_t full_ms = 0;     // that its last way to full service took; 0: it is on its way
+  std::uint8_t phase = 0;      // 0 where it does not, else its phase and one
+  std::uint8_t offered = 100;  // hundredths of what it would announce
+  std::uint16_t donor_port =
+      0;  // TCP, on the address it advertises: tells others what it has learned; 0: nowhere
+  std::uint32_t full_ms = 0;  // that its last way to full service took; 0: it is on its way
   bool operator==(const Course&) const = default;
 };
 
@@ -74,7 +75,7 @@
   Address twin;    // another live process under its name, where there is one
   Address second;  // where it is reached by another path, should it have one
   Course course;
-  Life beyond{};   // an earlier life that this one has superseded
+  Life beyond{};  // an earlier life that this one has superseded
   std::vector<LinkFault> links;
   std::vector<Finding> findings;
   bool operator==(const Told&) const = default;
--- a/src/membership_udp/ask.cpp
+++ b/src/membership_udp/ask.cpp
@@ -179,8 +179,9 @@
   std::ostringstream out;
   if (!r.way_back) return r.name + ": its way back is not guided\n";
   const auto& w = *r.way_back;
-  out << r.name << ": " << w.phase << " for " << seconds(w.since_ms) << ", start of kind " << w.kind << ", offers "
-      << int(w.offered) << " % (proven " << int(w.proven) << " %)" << (w.bounded ? ", waits bounded" : "") << "\n";
+  out << r.name << ": " << w.phase << " for " << seconds(w.since_ms) << ", start of kind " << w.kind
+      << ", offers " << int(w.offered) << " % (proven " << int(w.proven) << " %)"
+      << (w.bounded ? ", waits bounded" : "") << "\n";
   if (w.left_ms > 0) out << "about " << seconds(w.left_ms) << " to full service\n";
   if (w.keyed_wait_ms > 0) out << "keyed requests wait " << seconds(w.keyed_wait_ms) << "\n";
   const char* names[] = {"first answer", "good health", "half", "0.95", "full service", "guessed"};
--- a/src/membership_udp/ask.h
+++ b/src/membership_udp/ask.h
@@ -1,5 +1,5 @@
-// `granitegap members` and `granitegap recovery`: ask a process for its view of the fleet, and for how it comes
-// back.
+// `granitegap members` and `granitegap recovery`: ask a process for its view of the fleet, and for how it
+// comes back.
 #pragma once
 #include <chrono>
 #include <optional>
--- a/src/recovery/course.cpp
+++ b/src/recovery/course.cpp
@@ -126,7 +126,8 @@
   judge_kind(now);
   const bool guard = facts_.others > 0 && facts_.returning >= rules_.wave_share;
   if (guard) calm_since_ = std::max(calm_since_, now);
-  if (guard && phase_ == Phase::full && !std::exchange(guarding_, true)) news_.push_back({News::guarding, phase_, kind_, guarding_});
+  if (guard && phase_ == Phase::full && !std::exchange(guarding_, true))
+    news_.push_back({News::guarding, phase_, kind_, guarding_});
 }
 
 void Course::expected(std::size_t members, TimePoint now) {
@@ -257,8 +258,8 @@
   if (phase_ == Phase::ramping && offered_ >= 1 && (calm || now - since_ >= 4 * rules_.calm_for)) {
     guarding_ = !calm;  // all is offered: what is left is the bound
     // It is in full service since nobody was turned away any more, and not before it offered all.
-    milestones_.full = std::max(milestones_.most.value_or(Duration{}),
-                                span(now) - (calm ? rules_.calm_for : Duration{}));
+    milestones_.full =
+        std::max(milestones_.most.value_or(Duration{}), span(now) - (calm ? rules_.calm_for : Duration{}));
     enter(Phase::full, now);
     news_.push_back({News::full, phase_, kind_, guarding_});
   }
--- a/src/recovery/course.h
+++ b/src/recovery/course.h
@@ -1,5 +1,5 @@
-// How a process comes back: what kind of start it is, how much it may offer while it proves itself, and when it
-// is in full service. No I/O, no clock, no randomness; times are this process's steady ones.
+// How a process comes back: what kind of start it is, how much it may offer while it proves itself, and when
+// it is in full service. No I/O, no clock, no randomness; times are this process's steady ones.
 //
 //            the kernel is up            what others know has come, or      offered all, and nothing
 //                                        nobody is left to ask              pressed for a while
@@ -8,7 +8,8 @@
 //                              |   it was paused for long               |  |  the kernel is new  |
 //                              +----------------------------------------|--+---------------------+
 //                                                                       |  waits over their bound for long:
-//                                                                       +- callers that come again keep it there
+//                                                                       +- callers that come again keep it
+//                                                                       there
 //
 // What it offers grows by proven work, never by time alone: a step ends when enough runs ended within their
 // aim, and the next one offers at most `growth` times as much; a step in which too many did not goes back as
@@ -34,25 +35,26 @@
 const char* text_of(Kind kind);
 
 struct CourseRules {
-  Duration learn_most = std::chrono::milliseconds(800);  // waited for others' knowledge, since the kernel is up
-  double first = 0.1;     // offered before anything is proven
-  double growth = 1.5;    // offered never exceeds so many times what was proven
+  Duration learn_most =
+      std::chrono::milliseconds(800);  // waited for others' knowledge, since the kernel is up
+  double first = 0.1;                  // offered before anything is proven
+  double growth = 1.5;                 // offered never exceeds so many times what was proven
   double wait_bound = 1;  // of an arrival on the cores, in targets of its class, while a bound holds
-  double wave_share = 0.2, most_share = 0.5;         // of the fleet, from which a start is one of many
-  Duration step = std::chrono::milliseconds(300);    // the shortest
-  std::uint32_t proof = 4;                           // runs within their aim that end a step
-  double proof_share = 0.8;                          // of the runs of a step that must be so
-  Duration idle_step = std::chrono::seconds(2);      // where nobody asks
-  Duration calm_for = std::chrono::seconds(3);       // no arrival turned away, before the bound is lifted
-  Duration pause_most = std::chrono::seconds(5);     // past it, what was in memory is old
-  Duration pressed_for = std::chrono::seconds(2);    // waits over their bound so long: back to a bound
-  std::uint32_t steps_most = 64;                     // of growth: guards against a ramp without an end
+  double wave_share = 0.2, most_share = 0.5;       // of the fleet, from which a start is one of many
+  Duration step = std::chrono::milliseconds(300);  // the shortest
+  std::uint32_t proof = 4;                         // runs within their aim that end a step
+  double proof_share = 0.8;                        // of the runs of a step that must be so
+  Duration idle_step = std::chrono::seconds(2);    // where nobody asks
+  Duration calm_for = std::chrono::seconds(3);     // no arrival turned away, before the bound is lifted
+  Duration pause_most = std::chrono::seconds(5);   // past it, what was in memory is old
+  Duration pressed_for = std::chrono::seconds(2);  // waits over their bound so long: back to a bound
+  std::uint32_t steps_most = 64;                   // of growth: guards against a ramp without an end
 };
 
 // What a view says of the fleet's start.
 struct FleetFacts {
-  double returning = 0;   // share that is missing or not in full service, this one aside; 0 to 1
-  double missing = 0;     // of it, not there at all
+  double returning = 0;    // share that is missing or not in full service, this one aside; 0 to 1
+  double missing = 0;      // of it, not there at all
   std::size_t others = 0;  // agreed on
   std::size_t able = 0;    // of these, in full service: who may be asked
   bool sure = false;       // a majority is seen and nothing is in doubt
@@ -101,7 +103,7 @@
   // For whoever logs: each once, in order.
   struct News {
     enum What : std::uint8_t { phase, kind, full, paused, guarding } what{};
-    Phase at{};      // as they were then
+    Phase at{};  // as they were then
     Kind of{};
     bool guarded = false;
   };
--- a/src/recovery/learning.cpp
+++ b/src/recovery/learning.cpp
@@ -23,8 +23,8 @@
 }
 
 void Learning::view(const membership::View& view, TimePoint now) {
-  // What a view in doubt leaves out may be there all the same, and what it has may not: it still tells whom to
-  // ask, as whoever answers proves itself.
+  // What a view in doubt leaves out may be there all the same, and what it has may not: it still tells whom
+  // to ask, as whoever answers proves itself.
   candidates_.clear();
   std::size_t told = 0;
   for (const auto& p : view.peers) {
@@ -38,7 +38,8 @@
   }
   std::sort(candidates_.begin(), candidates_.end(), [&](const Candidate& a, const Candidate& b) {
     const auto rank = [&](const Candidate& c) {
-      return std::tuple(c.zone != zone_, c.generation / 1000, c.chance);  // milliseconds to seconds: about alike
+      return std::tuple(c.zone != zone_, c.generation / 1000,
+                        c.chance);  // milliseconds to seconds: about alike
     };
     return rank(a) < rank(b);
   });
--- a/src/recovery/learning.h
+++ b/src/recovery/learning.h
@@ -1,11 +1,11 @@
 // Whom a process that is coming back asks for what they know, and what it makes of their answers. No I/O, no
 // clock; times are this process's steady ones.
 //
-// Asked are members in full service, alive beyond doubt, that say where they answer: zone neighbours first, of
-// these whoever has lived longest, and by chance where that is alike, so that the callers of a wave don't all
-// fall on one. Up to `donors` answers are wanted, so many are asked at once, and one that fails, dawdles or says
-// what can't be used gives its place to the next. Whoever is nobody's match is not waited for: where nobody in
-// full service is left, as after a restart of all, it is over at once.
+// Asked are members in full service, alive beyond doubt, that say where they answer: zone neighbours first,
+// of these whoever has lived longest, and by chance where that is alike, so that the callers of a wave don't
+// all fall on one. Up to `donors` answers are wanted, so many are asked at once, and one that fails, dawdles
+// or says what can't be used gives its place to the next. Whoever is nobody's match is not waited for: where
+// nobody in full service is left, as after a restart of all, it is over at once.
 //
 // Fences: an answer counts only under the number that it was asked with, from the life that was asked, within
 // the time that it was given; so that one that was paused and goes on sending, or an earlier life, changes
@@ -25,9 +25,9 @@
 
 struct LearningRules {
   std::size_t donors = 3;
-  Duration each = std::chrono::milliseconds(300);   // for one answer
-  Duration most = std::chrono::milliseconds(800);   // for all of it
-  Duration view_most = std::chrono::seconds(10);    // age of a view that is still believed
+  Duration each = std::chrono::milliseconds(300);    // for one answer
+  Duration most = std::chrono::milliseconds(800);    // for all of it
+  Duration view_most = std::chrono::seconds(10);     // age of a view that is still believed
   Duration settle = std::chrono::milliseconds(200);  // without anybody new, before nobody more is expected
   std::size_t tries = 12;                            // asked in all
 };
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -144,7 +144,10 @@
 void Server::learn_from_others() {
   const auto& m = *extras_.declared->membership;
   const auto& member = fleet_->member();
-  learning_tcp::Actor::Place place{m.cluster, config_.name, m.zone, membership_udp::endpoint_of(m.bind).address(),
+  learning_tcp::Actor::Place place{m.cluster,
+                                   config_.name,
+                                   m.zone,
+                                   membership_udp::endpoint_of(m.bind).address(),
                                    extras_.declared->recovery->donate_port,
                                    config_.seed ^ std::uint64_t(member.self().life)};
   recovery::LearningRules rules;
--- a/tests/deps_test.cpp
+++ b/tests/deps_test.cpp
@@ -349,8 +349,8 @@
   expect_sound(w);
 }
 
-// A fleet's limit is shared over the members that are there; in doubt all that were agreed on count, and before
-// there is a view one call at a time is all.
+// A fleet's limit is shared over the members that are there; in doubt all that were agreed on count, and
+// before there is a view one call at a time is all.
 TEST(Gather, AFleetsLimitIsSharedOverTheLive) {
   auto spec = two_dependencies();
   spec.gathers[0].parts.resize(1);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -21,7 +21,8 @@
       never_back(who, c);
     };
   }
-  // In every test here: what one life of a member holds of another never goes back, until it has forgotten it.
+  // In every test here: what one life of a member holds of another never goes back, until it has forgotten
+  // it.
   void never_back(Node who, const Change& c) {
     if (c.kind == ChangeKind::forgotten) {
       held.erase({who, member(who).self().life, c.name});
