Exchanges heal a lost word of a way back: the digest counts its phase, door and time

Cause: with three test processes side by side a member's word of its full service was lost, and never came: the digest of views left the new fields out, so that views which differed in them alone read as alike (a newcomer then asked nobody). Change: digest.cpp counts phase, donor port and time to full service; a test that fails without.

--- a/src/membership/digest.cpp
+++ b/src/membership/digest.cpp
@@ -12,11 +12,14 @@
 
 std::uint32_t hash_of(std::uint64_t name, Life life, Incarnation incarnation, Status status, const Told* told,
                       std::uint32_t seed) {
-  std::array<std::uint64_t, 6> what{name, std::uint64_t(life), incarnation, std::uint64_t(status) << 48, 0,
-                                    0};
+  std::array<std::uint64_t, 7> what{name, std::uint64_t(life), incarnation, std::uint64_t(status) << 48, 0,
+                                    0,    0};
   if (told) {
     what[3] |= std::uint64_t(told->stage) | std::uint64_t(told->twin.port) << 8 |
                std::uint64_t(told->second.port) << 24;
+    // Not what is offered: it is told in steps, and the last one brings the phase with it.
+    what[6] = std::uint64_t(told->course.phase) | std::uint64_t(told->course.donor_port) << 8 |
+              std::uint64_t(told->course.full_ms) << 24;
     for (const auto& l : told->links) what[4] += (l.peer ^ l.inward) * 0x9e3779b97f4a7c15ull;
     for (const auto& f : told->findings) what[5] += (f.endpoint ^ f.out) * 0x9e3779b97f4a7c15ull;
   }
--- a/tests/membership_digest_test.cpp
+++ b/tests/membership_digest_test.cpp
@@ -63,6 +63,22 @@
   EXPECT_EQ(differing(a.digest(record(99)), b.digest(record(99))).count(), 1u);
 }
 
+// Where others are told what it has learned and whether it is in service, lost once, still comes by an exchange.
+TEST(Digest, AWayBackIsADifferenceAndWhatIsOfferedIsNone) {
+  for (const auto& course : {Course{4, 100, 0, 0}, Course{0, 100, 9000, 0}, Course{0, 100, 0, 1500}}) {
+    Held a(0, 50), b(0, 50);
+    auto told = record(4);
+    told.told->version = 2;
+    told.told->course = course;
+    b.take(told);
+    EXPECT_EQ(differing(a.digest(record(99)), b.digest(record(99))).count(), 1u);
+    told.told->version = 3;
+    told.told->course.offered = 40;
+    a.take(told);
+    EXPECT_TRUE(differing(a.digest(record(99)), b.digest(record(99))).none());
+  }
+}
+
 TEST(Digest, WhoKnowsNothingWantsEverything) {
   EXPECT_TRUE(differing({1, 2, 3, 4, 5, 6, 7, 8}, {}).all());
   EXPECT_EQ(buckets_for(0), kLeastBuckets);
