--- a/bench/comeback.cpp
+++ b/bench/comeback.cpp
@@ -1,7 +1,8 @@
 // How a fleet of real processes comes back after most of them have restarted at once, under callers of
 // several habits, on stand-in kernels that restart cold with them.
 //
-//   granitegap_bench_comeback [--scenario FILE] [--seed N] [--size N] [--program PATH]
+//   granitegap_bench_comeback [--scenario FILE] [--seed N] [--size N] [--program PATH] [--svg FILE]
+//   granitegap_bench_comeback --draw RESULT --svg FILE    # of a play before, whose object lies in RESULT
 //
 // Scenarios are records (bench/scenarios/comeback_*.cue; schema: bench/comeback.schema.cue). Each is played
 // on the same arrivals by `guided` (membership and recovery declared, with a directory) and `plain`
@@ -25,6 +26,7 @@
 #include "fleet/crowd.h"
 #include "fleet/runner.h"
 #include "records/records.h"
+#include "return_svg.h"
 
 namespace granitegap::bench {
 namespace {
@@ -244,12 +246,27 @@
   std::uint64_t seed = 1;
   std::size_t size = 24;
   bool only_plain = false;
+  std::string svg, drawn;
+  app.add_option("--svg", svg, "Draw served worth over time into this file");
+  app.add_option("--draw", drawn, "Play nothing: draw what this file holds");
   app.add_option("--scenario", file, "A record; bench/comeback.schema.cue");
   app.add_option("--seed", seed, "For arrivals and who is struck");
   app.add_option("--size", size, "Processes")->check(CLI::Range(2, 200));
   app.add_option("--program", program, "granitegap");
   app.add_flag("--only-plain", only_plain, "Leave the guided policy out");
   CLI11_PARSE(app, argc, argv);
+  const auto draw = [&](const Json& result) {
+    std::ofstream out(svg, std::ios::binary);
+    out << draw_return(result);
+    return bool(out.flush());
+  };
+  if (!drawn.empty()) try {
+      std::ifstream in(drawn);
+      return draw(Json::parse(in)) ? 0 : 1;
+    } catch (const std::exception& e) {
+      std::fprintf(stderr, "granitegap_bench_comeback: %s: %s\n", drawn.c_str(), e.what());
+      return 2;
+    }
   const auto scenario = read(file);
   if (const auto* errors = std::get_if<std::vector<granitegap::records::Error>>(&scenario)) {
     for (const auto& e : *errors) std::fprintf(stderr, "%s\n", e.text().c_str());
@@ -260,6 +277,7 @@
     Json out{{"scenario", s.name}, {"seed", seed}, {"size", size}};
     if (!only_plain) out["guided"] = play(s, program, true, seed, size);
     out["plain"] = play(s, program, false, seed, size);
+    if (!svg.empty() && !only_plain && !draw(out)) throw std::runtime_error("can't write " + svg);
     std::printf("%s\n", out.dump().c_str());
   } catch (const std::exception& e) {
     std::fprintf(stderr, "granitegap_bench_comeback: %s\n", e.what());
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -301,8 +301,20 @@
 
 // ---- The way back to full service ----
 
+// Two endpoints that nobody serves, and a class that gathers from them.
+std::string with_dependency(std::string file) {
+  const std::string none = "dependencies: []\ngathers: []\n";
+  return file.replace(
+      file.find(none), none.size(),
+      "dependencies: [{name: \"e.example.org\", endpoints: [\"127.0.0.1:9\", \"127.0.0.1:10\"], eject_for: "
+      "20s}]\n"
+      "gathers: [{class: \"route-profile\", parts: [{name: \"e\", from: \"e.example.org\", path: "
+      "\"/e?r={body}\"}]}]\n");
+}
+
 struct Ways : Trial {
   explicit Ways(std::size_t size, const std::string& fields = "") : Trial(made(size, fields)) {}
+  Ways(std::size_t size, Options o) : Trial((o.size = size, o)) {}
   static Options made(std::size_t size, const std::string& fields) {
     auto o = options(std::string("recovery: {after_lost_memory: \"go_on\", calm_for: 300ms, ") +
                      (fields.find("growth") == fields.npos ? "first: 0.4, growth: 3, " : "") + fields + "}");
@@ -453,6 +465,23 @@
   EXPECT_TRUE(f.all_in_service());
 }
 
+// What others found out of a service below the newcomer need not find out again: whom they hold out, it does
+// not choose. Alone in its knowledge it would have.
+TEST(Return, ANewcomerLearnsOfEndpointsFromOthers) {
+  auto o = Ways::made(4, "");
+  o.operator_file = with_dependency(o.operator_file);
+  Ways f(4, o);
+  f.form();
+  for (const auto& name : f.names())
+    for (int k = 0; k < 40; ++k)
+      standin::Caller(f.port(name)).ask({"route-profile", "r" + std::to_string(k), {}, {}, 5});
+  f.kill("n2");
+  f.start("n2");
+  EXPECT_TRUE(f.until([&] { return f.says("endpoints from 3 other members", "n2"); }, kLong)) << f.log("n2");
+  EXPECT_TRUE(f.says("learned of 1 endpoints", "n2") || f.says("learned of 2 endpoints", "n2"))
+      << f.log("n2");
+}
+
 // Donors that stand still in the middle give their place to others; what they send when they wake is
 // nobody's.
 TEST(Return, ADonorThatStandsStillIsLeftForTheNext) {
