--- a/examples/try/toy.cpp
+++ b/examples/try/toy.cpp
@@ -71,12 +71,14 @@
   tcp::acceptor door(io, {loopback(), 4400});
   std::cout << "toy kernel on 4400, toy list on 8761; stop with Ctrl-C" << std::endl;
   for (;;) {
-    auto link = door.accept();
-    try {
-      serve_kernel_link(link);
-    } catch (const boost::system::system_error& e) {
-      std::cout << "kernel: link ended: " << e.code().message() << std::endl;
-    }
+    // A kernel of its own for each that comes: several tile servers may be tried on one toy.
+    std::thread([link = door.accept()]() mutable {
+      try {
+        serve_kernel_link(link);
+      } catch (const boost::system::system_error& e) {
+        std::cout << "kernel: link ended: " << e.code().message() << std::endl;
+      }
+    }).detach();
   }
 }
 
