--- a/src/recovery/course.cpp
+++ b/src/recovery/course.cpp
@@ -115,7 +115,6 @@
   ++ways_back_;
   started_ = now;
   milestones_ = {};
-  steps_ = 0;
   pressed_since_.reset();
   enter(phase, now);
 }
@@ -218,7 +217,6 @@
   const bool well = enough ? double(good_) >= rules_.proof_share * double(all) : bad_ == 0;
   if (well && (enough || idle)) {
     proven_ = std::max(proven_, offered_);
-    ++steps_;
     offer(std::max(offered_, proven_ * rules_.growth), now);
   } else if (!well) {
     offer(offered_ / rules_.growth, now);
--- a/src/recovery/course.h
+++ b/src/recovery/course.h
@@ -48,7 +48,6 @@
   Duration calm_for = std::chrono::seconds(3);     // no arrival turned away, before the bound is lifted
   Duration pause_most = std::chrono::seconds(5);   // past it, what was in memory is old
   Duration pressed_for = std::chrono::seconds(2);  // waits over their bound so long: back to a bound
-  std::uint32_t steps_most = 64;                   // of growth: guards against a ramp without an end
 };
 
 // What a view says of the fleet's start.
@@ -129,7 +128,7 @@
   std::size_t expected_ = 0;
   TimePoint warm_at_{}, away_at_, calm_since_, low_since_{};
   std::optional<TimePoint> pressed_since_;
-  std::uint32_t good_ = 0, bad_ = 0, away_ = 0, steps_ = 0, ways_back_ = 0;
+  std::uint32_t good_ = 0, bad_ = 0, away_ = 0, ways_back_ = 0;
   Milestones milestones_;
   std::vector<News> news_;
 };
