Views are ranked for questions only while some are open; one log count and one command run

Found on reading the change again: each change of a view ranked all members for questions that nobody asks any more; an exception in an answer would have left its place at the door taken; two copies in the tests of what the fleet runner now has; make_edge looked the same record up twice.

--- a/src/learning_tcp/actor.cpp
+++ b/src/learning_tcp/actor.cpp
@@ -97,7 +97,12 @@
 }
 
 asio::awaitable<void> Actor::answer(Tcp::socket socket) {
-  ++at_once_;
+  // However it ends: guards against a door that an exception closes for good.
+  struct Counted {
+    std::size_t& n;
+    explicit Counted(std::size_t& count) : n(count) { ++n; }
+    ~Counted() { --n; }
+  } const counted(at_once_);
   {
     const Deadline dawdles(socket, std::chrono::steady_clock::now() + 2 * kDawdle);
     const auto bytes = co_await read(socket, kMostQuestion);
@@ -112,19 +117,21 @@
       }
     }
   }
-  --at_once_;
 }
 
 // ---- The one who asks ----
 
 void Actor::begin() {
   learning_.begin(hooks_.clock());
+  if (view_) learning_.view(*view_, hooks_.clock());
   pending_ = true;
   wake_.cancel();
 }
 
-void Actor::view(const membership::View& view) {
-  learning_.view(view, hooks_.clock());
+void Actor::view(std::shared_ptr<const membership::View> newest) {
+  view_ = std::move(newest);
+  if (!pending_) return;
+  learning_.view(*view_, hooks_.clock());
   wake_.cancel();
 }
 
--- a/src/learning_tcp/actor.h
+++ b/src/learning_tcp/actor.h
@@ -42,8 +42,8 @@
   std::uint16_t port() const { return door_.local_endpoint().port(); }
   boost::asio::awaitable<void> serve();
   boost::asio::awaitable<void> learn();
-  void begin();                             // asks anew
-  void view(const membership::View& view);  // the newest
+  void begin();                                               // asks anew
+  void view(std::shared_ptr<const membership::View> newest);  // looked at only while it asks
   void close();
   // Whom it was learned from the last time, and when.
   const std::vector<std::string>& from() const { return from_; }
@@ -61,6 +61,7 @@
   Hooks hooks_;
   Logger& log_;
   recovery::Learning learning_;
+  std::shared_ptr<const membership::View> view_;
   Tcp::acceptor door_;
   boost::asio::steady_timer wake_;
   std::vector<std::string> from_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -41,18 +41,17 @@
           return parts::compose(std::move(result), parts, kMostComposed);
         },
         extras.guarded);
-  if (const auto* d = extras.declared ? &*extras.declared : nullptr;
-      d && d->recovery && d->recovery->wait_out)
-    edge.wait_out_lost_memory(d->recovery->clock_back_most, started);
-  if (const auto* d = extras.declared ? &*extras.declared : nullptr;
-      d && d->recovery && d->recovery->guided) {
+  if (!extras.declared || !extras.declared->recovery) return edge;
+  const auto& r = *extras.declared->recovery;
+  if (r.wait_out) edge.wait_out_lost_memory(r.clock_back_most, started);
+  if (r.guided) {
     recovery::CourseRules rules;
-    rules.first = d->recovery->first;
-    rules.growth = d->recovery->growth;
-    rules.wait_bound = d->recovery->wait_bound;
-    rules.learn_most = d->recovery->learn_most;
-    rules.pause_most = d->recovery->pause_most;
-    rules.calm_for = d->recovery->calm_for;
+    rules.first = r.first;
+    rules.growth = r.growth;
+    rules.wait_bound = r.wait_bound;
+    rules.learn_most = r.learn_most;
+    rules.pause_most = r.pause_most;
+    rules.calm_for = r.calm_for;
     edge.guide_return(rules, started);
   }
   return edge;
@@ -194,7 +193,7 @@
     return membership_udp::Actor::Own{s.stage, s.warmth, s.pressed, std::move(s.findings), s.course};
   };
   hooks.view = [this](std::shared_ptr<const membership::View> view) {
-    if (learning_) learning_->view(*view);
+    if (learning_) learning_->view(view);
     module_.mailbox().post_control(edge::FleetNews{std::move(view)});
   };
   fleet_ =
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -362,12 +362,6 @@
         kLong))
         << state();
   }
-  std::size_t times(const std::string& name, const std::string& line) const {
-    const auto text = log(name);
-    std::size_t n = 0;
-    for (std::size_t at = 0; (at = text.find(line, at)) != std::string::npos; ++at) ++n;
-    return n;
-  }
 };
 
 // One among healthy ones: it learns from them, proves itself, and says how long all of it took.
@@ -399,13 +393,7 @@
   Ways f(1);
   f.up();
   const auto address = membership_udp::text_of(f.bound("n0"));
-  const auto run = [&](const std::string& words) {
-    std::string out;
-    auto* pipe = ::popen((std::string(PROGRAM) + " recovery " + words + " 2>&1").c_str(), "r");
-    char buffer[512];
-    while (const auto n = std::fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, n);
-    return std::pair(WEXITSTATUS(::pclose(pipe)), out);
-  };
+  const auto run = [&](const std::string& words) { return f.run("recovery " + words); };
   const auto [good, text] = run(address + " --json");
   EXPECT_EQ(good, 0);
   for (const char* field : {"state", "since_ms", "kind", "offered", "left_ms", "learned_from", "full_ms"})
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -45,12 +45,6 @@
     return true;
   }
   Hearing hearing(const std::string& name) const { return view(name).value().hearing; }
-  std::size_t times(const std::string& name, const std::string& line) const {
-    const auto text = log(name);
-    std::size_t n = 0;
-    for (std::size_t at = 0; (at = text.find(line, at)) != std::string::npos; ++at) ++n;
-    return n;
-  }
   // Nobody but these was held dead by anybody.
   void only_these_died(const Names& these) const {
     for (const auto& who : names())
@@ -84,13 +78,7 @@
 TEST(Fleet, TheMembersCommandAsksAndSaysSoWhereNobodyAnswers) {
   Trial f(2);
   f.form();
-  const auto run = [](const std::string& words) {
-    std::string out;
-    auto* pipe = ::popen((std::string(PROGRAM) + " members " + words + " 2>&1").c_str(), "r");
-    char buffer[512];
-    while (const auto n = std::fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, n);
-    return std::pair(WEXITSTATUS(::pclose(pipe)), out);
-  };
+  const auto run = [&](const std::string& words) { return f.run("members " + words); };
   const auto address = membership_udp::text_of(f.bound("n0"));
   const auto [good, object] = run(address + " --json");
   EXPECT_EQ(good, 0);
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <fstream>
 #include <future>
@@ -383,6 +385,20 @@
   std::ifstream in(at(name).folder / "log", std::ios::binary);
   return {std::istreambuf_iterator<char>(in), {}};
 }
+std::size_t Fleet::times(const std::string& name, const std::string& line) const {
+  const auto text = log(name);
+  std::size_t n = 0;
+  for (std::size_t at = 0; (at = text.find(line, at)) != std::string::npos; ++at) ++n;
+  return n;
+}
+std::pair<int, std::string> Fleet::run(const std::string& words) const {
+  std::string out;
+  auto* pipe = ::popen((options_.program + " " + words + " 2>&1").c_str(), "r");
+  if (!pipe) throw std::runtime_error("can't run " + options_.program);
+  char buffer[512];
+  while (const auto n = std::fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, n);
+  return {WEXITSTATUS(::pclose(pipe)), out};
+}
 int Fleet::pid(const std::string& name) const { return at(name).pid; }
 std::map<std::pair<std::string, std::string>, int> Fleet::runs(const std::string& name) const {
   return on_io([&] { return at(name).kernel->runs(); });
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -20,6 +20,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "membership_udp/ask.h"
@@ -93,6 +94,9 @@
   Names names() const;
   Names running() const;  // neither ended nor paused
   std::string log(const std::string& name) const;
+  std::size_t times(const std::string& name, const std::string& line) const;  // that its log has it
+  // The program's own commands, as `members ADDRESS`: exit status and what it printed.
+  std::pair<int, std::string> run(const std::string& words) const;
   std::string state()
       const;  // of every process, and the ends of their logs: for whoever looks why a wait was in vain
   int pid(const std::string& name) const;
