What is learned holds the hottest kept answers; the return's bench has services below

Coming back: a process that restarts has an empty cache of its dependencies' answers, so that a fleet that returns asks them for everything anew; the bench of the return had no dependencies at all.

They are used by their age against what each part declares, and never over what this life heard later. Stand-in dependencies can tell when they answered and what was asked; granitegap_bench_comeback plays two of them with a hard capacity and counts peak_dependency_calls and stale_decisions (parts older than declared, said to be younger than they are, or of another thing).

--- a/bench/comeback.cpp
+++ b/bench/comeback.cpp
@@ -12,21 +12,28 @@
 // worth together is 0.95 of the mean before; -1: never. `floor_s`: the same if kernels' own warm-up were
 // the only limit. `worth_lost`: against the mean before, in seconds of it. `survivor_worth`: what those not
 // restarted served in the ten seconds after, of what they had served a second before. `double_runs`: of one
-// keyed request on one kernel. `unserved`: first tries that nobody served by their deadline; `late`: served
+// keyed request on one kernel. With services below: `peak_dependency_calls`, the most calls of one in any
+// second after the restart, of its mean a second before (`steady_peak`: the most before, of the same);
+// `most_open_below`: calls that one of them had open at once; `stale_decisions`: parts served as fresh or as
+// stale that were older than declared, were said to be younger than they were, or were of another thing.
+// `unserved`: first tries that nobody served by their deadline; `late`: served
 // past their aim.
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <fstream>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <set>
 
 #include "comeback_schema.h"
 #include "fleet/crowd.h"
 #include "fleet/runner.h"
+#include "partial_answer.pb.h"
 #include "records/records.h"
 #include "return_svg.h"
+#include "standin/dependency.h"
 
 namespace granitegap::bench {
 namespace {
@@ -41,6 +48,9 @@
   Duration before{}, after{}, cost{}, warm_up{};
   double share = 0.8, load = 0.8, cold_from = 0.2, crowd = 8;
   bool wipe = false, kernels_too = true;
+  std::uint64_t things = 0;
+  std::uint32_t capacity = 8, fleet_open = 24;
+  Duration latency{}, fresh_for{}, stale_for{}, away{};
   std::array<double, fleet::kHabits> habits{};
 };
 
@@ -53,6 +63,111 @@
   return 0;
 }
 
+// Two services below, on a thread of their own.
+class Below {
+ public:
+  using Clock = standin::Dependency::Clock;
+  Below(const Scenario& s, std::uint64_t seed) : scenario_(s), start_(Clock::now()) {
+    standin::Script script;
+    standin::Phase phase;
+    phase.latency = s.latency;
+    phase.spread = 0.3;
+    phase.capacity = s.capacity;
+    phase.body = 600;
+    script.phases = {phase};
+    for (std::size_t k = 0; k < 2; ++k) {
+      services_.push_back(std::make_unique<standin::Dependency>(io_, script, seed + k,
+                                                                std::vector<std::uint16_t>{0, 0}, start_));
+      services_.back()->tell_when();
+    }
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~Below() {
+    io_.stop();
+    thread_.join();
+  }
+  std::string declared(bool guided) const {
+    const auto ms = [](Duration d) { return std::to_string(d.count() / 1000) + "ms"; };
+    std::string text = "dependencies: [\n";
+    for (std::size_t k = 0; k < 2; ++k) {
+      text += "\t{name: \"" + std::string(kNames[k]) + ".example.org\", endpoints: [";
+      for (std::size_t e = 0; e < 2; ++e)
+        text += "\"127.0.0.1:" + std::to_string(services_[k]->port(e)) + "\", ";
+      text += "]";
+      if (guided) text += ", fleet_open: " + std::to_string(scenario_.fleet_open);
+      text += "},\n";
+    }
+    text += "]\ngathers: [{class: \"route-profile\", budget: 400ms, parts: [\n";
+    for (const auto* name : kNames)
+      text += "\t{name: \"" + std::string(name) + "\", from: \"" + name + ".example.org\", path: \"/" + name +
+              "?r={body}\", fresh_for: " + ms(scenario_.fresh_for) +
+              ", stale_for: " + ms(scenario_.stale_for) + ", default: \"\"},\n";
+    return text + "]}]\n";
+  }
+  // The parts of one served answer that are not what they are said to be.
+  std::uint16_t wrong(const std::string& asked, const std::string& body, Duration took) const {
+    PartialAnswer answer;
+    if (!answer.ParseFromString(body)) return 1;
+    const auto now = std::chrono::duration_cast<Duration>(Clock::now() - start_);
+    std::uint16_t n = 0;
+    for (const auto& part : answer.parts()) {
+      if (part.status() != Part::FRESH && part.status() != Part::STALE) continue;
+      const auto space = part.data().find(' '), end = part.data().find('\n');
+      if (end == std::string::npos || space > end) {
+        ++n;
+        continue;
+      }
+      const auto path = part.data().substr(space + 1, end - space - 1);
+      const auto age = now - std::chrono::milliseconds(std::stoll(part.data().substr(0, space)));
+      const auto most = part.status() == Part::FRESH ? scenario_.fresh_for : scenario_.stale_for;
+      // It was chosen at some moment while the request was under way; a call of its own may have taken long.
+      const auto slack = took + 10ms;
+      n += path != "/" + part.name() + "?r=" + asked || age > most + slack ||
+           age > std::chrono::milliseconds(part.age_ms()) + slack + scenario_.latency * 5;
+    }
+    return n;
+  }
+  // Calls of each service by when they came, and the most open at once; since the restart is not told apart.
+  std::vector<std::vector<Duration>> calls() {
+    return on_io([&] {
+      std::vector<std::vector<Duration>> all;
+      for (const auto& s : services_) all.push_back(s->seen().requests);
+      return all;
+    });
+  }
+  std::size_t most_open() {
+    return on_io([&] { return std::max(services_[0]->seen().most_open, services_[1]->seen().most_open); });
+  }
+  Duration elapsed() const { return std::chrono::duration_cast<Duration>(Clock::now() - start_); }
+
+ private:
+  static constexpr const char* kNames[] = {"elevation", "names"};
+  template <class F>
+  auto on_io(F f) -> decltype(f()) {
+    std::promise<decltype(f())> done;
+    boost::asio::post(io_, [&] { done.set_value(f()); });
+    return done.get_future().get();
+  }
+  const Scenario& scenario_;
+  Clock::time_point start_;
+  boost::asio::io_context io_;
+  std::vector<std::unique_ptr<standin::Dependency>> services_;
+  std::thread thread_;
+};
+
+// The most of these in any second of [from, to), and their mean a second.
+std::pair<double, double> rates(const std::vector<Duration>& calls, Duration from, Duration to) {
+  std::vector<Duration> in;
+  for (const auto c : calls)
+    if (c >= from && c < to) in.push_back(c);
+  std::size_t most = 0;
+  for (std::size_t a = 0, b = 0; b < in.size(); ++b) {
+    while (in[b] - in[a] >= 1s) ++a;
+    most = std::max(most, b - a + 1);
+  }
+  return {double(most), double(in.size()) / seconds(to - from)};
+}
+
 // When the kernels alone would carry 0.95 of the load again.
 double floor_of(const Scenario& s, std::size_t size, std::size_t struck) {
   for (double t = 0; t < seconds(s.after); t += 0.1) {
@@ -72,8 +187,14 @@
   o.run_cost = s.cost;
   o.cold_ms = seconds(s.warm_up) * 1000;
   o.operator_file = "dependencies: []\ngathers: []\n";
+  std::optional<Below> below;
+  if (s.things > 0) {
+    below.emplace(s, seed);
+    o.operator_file = below->declared(guided);
+  }
+  o.in_fleet = guided;
   if (guided) o.operator_file += "recovery: {folder: \"@FOLDER\", snapshot_every: 1s}\n";
-  o.declared = guided;
+  o.declared = guided || below;
   Fleet f(o);
   std::vector<std::string> names;
   for (const auto& n : f.names()) names.push_back(n);
@@ -104,6 +225,11 @@
   c.classes = {{"tile", 0.6, 1, 0.2, 1900ms, 4900ms, false},
                {"route-profile", 0.3, 2, 0, 1900ms, 4900ms, false},
                {"trail-report", 0.1, 5, 0.2, 1200ms, 3000ms, true}};
+  if (below) {
+    c.classes[1].things = s.things;
+    c.check = [&](const fleet::CrowdClass& cls, const std::string& asked, const std::string& body,
+                  Duration took) { return cls.things ? below->wrong(asked, body, took) : std::uint16_t(0); };
+  }
   // Where each serves; looked up once a life, as a list would tell it.
   std::mutex mutex;
   std::vector<std::uint16_t> ports;
@@ -123,11 +249,13 @@
   const auto struck = std::size_t(std::lround(s.share * double(size)));
   std::set<std::size_t> who(order.begin(), order.begin() + std::ptrdiff_t(struck));
   const auto hit = crowd.elapsed();
+  const auto below_hit = below ? below->elapsed() : Duration();
   for (const auto n : who) {
     f.kill(names[n]);
     const std::lock_guard lock(mutex);
     ports[n] = 0;
   }
+  std::this_thread::sleep_for(s.away);
   for (const auto n : who) {
     if (s.wipe) f.wipe(names[n]);
     if (s.kernels_too) f.reboot_kernel(names[n]);
@@ -179,6 +307,8 @@
     if (worth[k] + worth[k + 1] + worth[k + 2] >= 3 * 0.95 * mean) full = double(k) - seconds(hit);
   for (std::size_t k = std::size_t(seconds(hit)); k < last; ++k) lost += std::max(0.0, 1 - worth[k] / mean);
   int double_runs = 0;
+  std::uint64_t stale = 0;
+  for (const auto& fate : fates) stale += fate.wrong;
   double rss = 0, runs = 0, served = 0;
   for (const auto& fate : fates) served += fate.served;
   for (const auto& n : names) {
@@ -194,7 +324,24 @@
     if (fate.served && fate.wanted >= end - 10s) ++last_served[fate.server];
   Json series = Json::array();
   for (std::size_t k = from; k < last; ++k) series.push_back(std::round(worth[k] / mean * 1000) / 1000);
-  return Json{{"full_service_s", full},
+  Json under = Json::object();
+  if (below) {
+    double peak = 0, steady_peak = 0, steady = 0;
+    for (const auto& calls : below->calls()) {
+      const auto [before_most, mean] = rates(calls, below_hit - (hit - Duration(2s)), below_hit);
+      const auto after = rates(calls, below_hit, below_hit + s.after);
+      steady_peak = std::max(steady_peak, before_most / std::max(mean, 1.0));
+      peak = std::max(peak, after.first / std::max(mean, 1.0));
+      steady = std::max(steady, mean);
+    }
+    under = {{"peak_dependency_calls", peak},
+             {"steady_peak", steady_peak},
+             {"steady_calls_s", steady},
+             {"most_open_below", below->most_open()},
+             {"stale_decisions", stale}};
+  }
+  return Json{{"below", under},
+              {"full_service_s", full},
               {"floor_s", floor_of(s, size, struck)},
               {"up_s", up_s},
               {"worth_lost", lost},
@@ -232,6 +379,13 @@
   s.crowd = v["crowd"].as_number();
   s.wipe = v["wipe"].as_bool();
   s.kernels_too = v["kernels_too"].as_bool();
+  s.things = std::uint64_t(v["things"].as_number());
+  s.capacity = std::uint32_t(v["capacity"].as_number());
+  s.fleet_open = std::uint32_t(v["fleet_open"].as_number());
+  s.latency = v["latency"].as_span();
+  s.fresh_for = v["fresh_for"].as_span();
+  s.stale_for = v["stale_for"].as_span();
+  s.away = v["away"].as_span();
   s.habits = {v["heeding"].as_number(), v["tireless"].as_number(), v["sticky"].as_number()};
   return s;
 }
--- a/bench/comeback.schema.cue
+++ b/bench/comeback.schema.cue
@@ -15,6 +15,16 @@
 	cold_from: >0 & <=1 | *0.2
 	warm_up:   duration & >=0s & <=600s | *15s
 	crowd:     >=1 & <=1000 | *8
+	// Where `things` is not 0, route profiles take parts from two services below, about so many different things, the
+	// first ones most often; each service has so many answers in the making at once and no more, and the rest wait.
+	things:     int & >=0 & <=100000000 | *0
+	capacity:   int & >=1 & <=10000 | *8
+	latency:    duration & >=1ms & <=10s | *20ms
+	fresh_for:  duration & >=0s & <=1h | *10s
+	stale_for:  duration & >=0s & <=1h | *60s
+	fleet_open: int & >=0 & <=10000 | *24
+	// How long the processes were away: their snapshots are so much older.
+	away: duration & >=0s & <=600s | *0s
 	// Weights of the callers' habits.
 	heeding:  >=0 | *1
 	tireless: >=0 | *1
--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -180,7 +180,7 @@
         hit = cache.find(key);
       if (!hit) {
         if constexpr (std::is_same_v<Cache, PartCache>)
-          cache.put(key, body, now);
+          cache.put(key, 0, {}, body, now);
         else
           cache.put(key, body);
       }
--- /dev/null
+++ b/bench/scenarios/comeback_below.cue
@@ -0,0 +1,2 @@
+name: "most restart, services below"
+things: 3000
--- /dev/null
+++ b/bench/scenarios/comeback_below_wiped.cue
@@ -0,0 +1,3 @@
+name: "most restart, services below, wiped"
+things: 3000
+wipe: true
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t kUsualSamples = 16;  // new ones after which what is usual is looked up anew
 constexpr Duration kUsualLasts = std::chrono::milliseconds(50);
 constexpr std::size_t kFailures = 1024;
+constexpr std::size_t kHotLooked = 2048;  // kept answers: looked at in well under a millisecond
 constexpr unsigned kTryBits = 4, kSlotBits = 24;
 
 std::uint64_t hash_of(RequestId id) { return std::uint64_t(id); }
@@ -507,7 +508,7 @@
 void Gatherer::answered(Slot slot, const Bytes& body, TimePoint now) {
   abandon_tries(slot);
   auto& f = flights_[slot];
-  cache_.put(f.key, body, now);
+  cache_.put(f.key, f.dependency, f.path, body, now);
   const auto generation = f.generation;
   while (f.used && f.generation == generation && !f.waiters.empty()) {
     const auto w = f.waiters.back();
@@ -674,16 +675,44 @@
         to.endpoints.push_back(
             {d.spec.name, a.host, a.port, k->out_for, k->times_out, k->latency, k->heard_ago});
       }
+  std::size_t bytes = 0;
+  for (const auto& hot : cache_.hottest(kHotLooked)) {
+    learned::Part part{deps_[hot.dependency].spec.name, *hot.path, hot.body,
+                       std::max(now - hot.stored, Duration{})};
+    if (!learned::fits(part) || part.age >= kept_for(hot.dependency)) continue;
+    bytes += part.body->size() + part.path.size() + part.dependency.size();
+    if (bytes > learned::kMostPartBytes || to.parts.size() >= learned::kMostParts) break;
+    to.parts.push_back(std::move(part));
+  }
 }
 
-std::size_t Gatherer::learn(const learned::Learned& from, TimePoint now) {
-  std::size_t used = 0;
+Duration Gatherer::kept_for(std::uint32_t dependency) const {
+  Duration longest{};
+  for (const auto& g : loaded_->spec->gathers)
+    for (const auto& p : g.parts)
+      if (loaded_->dependency[p.dependency] == dependency)
+        longest = std::max({longest, p.fresh_for, p.stale_for});
+  return longest;
+}
+
+Gatherer::Used Gatherer::learn(const learned::Learned& from, TimePoint now) {
+  Used used;
+  // The hottest last, so that it is the newest here too.
+  for (auto p = from.parts.rbegin(); p != from.parts.rend(); ++p)
+    for (std::uint32_t d = 0; d < deps_.size(); ++d) {
+      if (deps_[d].spec.name != p->dependency || p->age < Duration{} || p->age >= kept_for(d)) continue;
+      const auto key = key_of(d, p->path, hash_seed_);
+      const auto at = now - p->age;
+      if (const auto own = cache_.stored(key); own && *own >= at) continue;
+      cache_.put(key, d, p->path, p->body, at);
+      ++used.parts;
+    }
   for (const auto& e : from.endpoints)
     for (auto& d : deps_) {
       if (d.spec.name != e.dependency) continue;
       for (std::uint32_t i = 0; i < d.endpoints.places(); ++i)
         if (d.endpoints.address(i) == EndpointSpec{e.host, e.port})
-          used += d.endpoints.learn(i, {e.out_for, e.latency, e.heard_ago, e.times_out}, now);
+          used.endpoints += d.endpoints.learn(i, {e.out_for, e.latency, e.heard_ago, e.times_out}, now);
     }
   return used;
 }
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -129,9 +129,13 @@
   void fleet(std::shared_ptr<const membership::View> view, TimePoint now);
   std::vector<membership::Finding> findings(TimePoint now) const;
 
-  // What is known of endpoints, for another life; and what an earlier one knew. The number that was of use.
+  // What is known of endpoints and the hottest of what is kept, for another life; and what an earlier one
+  // knew: the numbers that were of use. What was heard here since overrules it.
   void export_to(learned::Learned& to, TimePoint now) const;
-  std::size_t learn(const learned::Learned& from, TimePoint now);
+  struct Used {
+    std::size_t endpoints = 0, parts = 0;
+  };
+  Used learn(const learned::Learned& from, TimePoint now);
 
   const EndpointSpec& address(std::uint32_t dependency, std::uint32_t endpoint) const {
     return deps_[dependency].endpoints.address(endpoint);
@@ -244,6 +248,8 @@
 
   std::shared_ptr<const membership::View> fleet_;
   void share_limits();
+  // The longest that any part may still take a kept answer of it.
+  Duration kept_for(std::uint32_t dependency) const;
   std::shared_ptr<const Loaded> load(std::shared_ptr<const Spec> spec, TimePoint now);
   const GatherSpec& what(const Gather& g) const { return g.loaded->spec->gathers[g.which]; }
   Slot find_gather(RequestId id) const;
--- a/src/deps/part_cache.cpp
+++ b/src/deps/part_cache.cpp
@@ -8,7 +8,7 @@
 namespace granitegap::deps {
 namespace {
 
-constexpr std::size_t kEntryBytes = 160;  // an entry's own: its slot, index and the string's head
+constexpr std::size_t kEntryBytes = 200;  // an entry's own: its slot, index and the string's head
 constexpr double kWindowShare = 0.01, kProtectedShare = 0.8;
 constexpr std::size_t kUsualEntry = 1024;  // by which the sketch is sized
 constexpr unsigned kRows = 4;
@@ -52,7 +52,9 @@
   settle();
 }
 
-std::size_t PartCache::cost(const Entry& e) { return kEntryBytes + (e.body ? e.body->capacity() : 0); }
+std::size_t PartCache::cost(const Entry& e) {
+  return kEntryBytes + (e.body ? e.body->capacity() : 0) + e.path.capacity();
+}
 
 void PartCache::unlink(Index i) {
   auto& e = entries_[i];
@@ -80,6 +82,7 @@
   --size_;
   index_.erase(e.key.low, i);
   e.body.reset();
+  e.path = {};
   e.where = kFree;
   free_.push_back(i);
 }
@@ -102,7 +105,27 @@
   return Found{e.body, std::max(now - e.stored, Duration{})};
 }
 
-void PartCache::put(const Key& key, Bytes body, TimePoint now) {
+std::optional<TimePoint> PartCache::stored(const Key& key) const {
+  const auto i = lookup(key);
+  if (i == kNone) return std::nullopt;
+  return entries_[i].stored;
+}
+
+std::vector<PartCache::Hot> PartCache::hottest(std::size_t most) const {
+  std::vector<std::pair<std::uint32_t, Index>> seen;
+  for (const auto where : {kProtected, kProbation, kWindow})
+    for (auto i = lists_[where].newest; i != kNone && seen.size() < most; i = entries_[i].after)
+      seen.push_back({sketch_.estimate(entries_[i].key), i});
+  std::stable_sort(seen.begin(), seen.end(), [](auto& a, auto& b) { return a.first > b.first; });
+  std::vector<Hot> hot;
+  hot.reserve(seen.size());
+  for (const auto& [times, i] : seen)
+    hot.push_back({entries_[i].dependency, &entries_[i].path, entries_[i].body, entries_[i].stored});
+  return hot;
+}
+
+void PartCache::put(const Key& key, std::uint32_t dependency, std::string_view path, Bytes body,
+                    TimePoint now) {
   if (!body) return;
   auto i = lookup(key);
   if (i != kNone) {
@@ -124,6 +147,8 @@
   free_.pop_back();
   auto& e = entries_[i];
   e.key = key;
+  e.dependency = dependency;
+  e.path = path;
   e.body = std::move(body);
   e.stored = now;
   bytes_ += cost(e);
--- a/src/deps/part_cache.h
+++ b/src/deps/part_cache.h
@@ -50,7 +50,19 @@
   };
   // Counts as a use. Absent where nothing is kept; how old is too old, the caller says.
   std::optional<Found> find(const Key& key, TimePoint now);
-  void put(const Key& key, Bytes body, TimePoint now);
+  // `stored`: when the dependency answered. `path` is what the key was made of, for hottest().
+  void put(const Key& key, std::uint32_t dependency, std::string_view path, Bytes body, TimePoint stored);
+  // When what is kept was stored; no use.
+  std::optional<TimePoint> stored(const Key& key) const;
+  // What was asked for most lately, hottest first, as far as it is cheap to tell: among the newest `most` of
+  // those used more than once, then of the rest.
+  struct Hot {
+    std::uint32_t dependency = 0;
+    const std::string* path = nullptr;  // lent until the next put()
+    Bytes body;
+    TimePoint stored{};
+  };
+  std::vector<Hot> hottest(std::size_t most) const;
   std::size_t bytes() const { return bytes_; }
   std::size_t size() const { return size_; }
   void resize(std::size_t most_bytes);
@@ -62,7 +74,9 @@
   struct Entry {
     Key key;
     Bytes body;
+    std::string path;
     TimePoint stored{};
+    std::uint32_t dependency = 0;
     Index before = kNone, after = kNone;
     Where where = kFree;
   };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -127,8 +127,11 @@
   if (!gatherer_) return;
   const auto from = news.from_others == 0 ? std::string("an earlier life")
                                           : std::to_string(news.from_others) + " other members";
-  if (const auto used = gatherer_->learn(news.what, now_.steady))
-    remark("learned of " + std::to_string(used) + " endpoints from " + from, "learned");
+  const auto used = gatherer_->learn(news.what, now_.steady);
+  if (used.endpoints > 0)
+    remark("learned of " + std::to_string(used.endpoints) + " endpoints from " + from, "learned");
+  if (used.parts > 0)
+    remark("learned " + std::to_string(used.parts) + " kept answers from " + from, "learned_parts");
 }
 
 learned::Learned Edge::learned(TimePoint now) const {
--- a/src/learned/learned.cpp
+++ b/src/learned/learned.cpp
@@ -9,6 +9,10 @@
 
 namespace granitegap::learned {
 
+bool fits(const Part& p) {
+  return p.body && p.body->size() <= kMostPartBody && !p.path.empty() && p.path.size() <= kMostPartPath;
+}
+
 void bound(Learned& learned) {
   auto& e = learned.endpoints;
   if (e.size() > kMostEndpoints) {
@@ -19,6 +23,14 @@
     e.resize(kMostEndpoints);
   }
   if (learned.members.size() > kMostMembers) learned.members.resize(kMostMembers);
+  std::erase_if(learned.parts, [](const Part& p) { return !fits(p); });
+  std::size_t bytes = 0, kept = 0;
+  for (; kept < std::min(learned.parts.size(), kMostParts); ++kept) {
+    const auto& p = learned.parts[kept];
+    bytes += p.body->size() + p.path.size() + p.dependency.size();
+    if (bytes > kMostPartBytes) break;
+  }
+  learned.parts.resize(kept);
 }
 
 namespace {
@@ -71,12 +83,28 @@
   Learned to;
   std::map<std::tuple<std::string, std::string, std::uint16_t>, std::vector<const Endpoint*>> endpoints;
   std::set<membership::Address> members;
+  struct Kept {
+    const Part* youngest = nullptr;
+    std::size_t by = 0, at = 0;  // how many keep it; its best place among theirs
+  };
+  std::map<std::pair<std::string, std::string>, Kept> parts;
   for (const auto& one : several) {
+    for (std::size_t n = 0; n < one.parts.size(); ++n) {
+      auto& k = parts[{one.parts[n].dependency, one.parts[n].path}];
+      if (!k.youngest || one.parts[n].age < k.youngest->age) k.youngest = &one.parts[n];
+      k.at = k.by++ == 0 ? n : std::min(k.at, n);
+    }
     for (const auto& e : one.endpoints) endpoints[{e.dependency, e.host, e.port}].push_back(&e);
     members.insert(one.members.begin(), one.members.end());
   }
   for (const auto& [key, said] : endpoints) to.endpoints.push_back(merged_endpoint(said));
   to.members.assign(members.begin(), members.end());
+  std::vector<Kept> order;
+  for (const auto& [key, kept] : parts) order.push_back(kept);
+  std::stable_sort(order.begin(), order.end(), [](const Kept& a, const Kept& b) {
+    return std::pair(b.by, a.at) < std::pair(a.by, b.at);
+  });
+  for (const auto& k : order) to.parts.push_back(*k.youngest);
   bound(to);
   return to;
 }
@@ -84,6 +112,7 @@
 Learned faded(Learned learned, std::optional<Duration> age) {
   if (!age || *age < Duration{}) {
     learned.endpoints.clear();  // of no known age: guards against acting on an hour-old ejection
+    learned.parts.clear();
     return learned;
   }
   for (auto& e : learned.endpoints) {
@@ -93,6 +122,8 @@
   }
   std::erase_if(learned.endpoints,
                 [](const Endpoint& e) { return e.out_for <= Duration{} && e.latency <= Duration{}; });
+  for (auto& p : learned.parts) p.age += *age;
+  std::erase_if(learned.parts, [](const Part& p) { return p.age > kPartsLast; });
   if (*age > kMembersLast) learned.members.clear();
   return learned;
 }
--- a/src/learned/learned.h
+++ b/src/learned/learned.h
@@ -8,9 +8,11 @@
 // | --- | --- | --- |
 // | an endpoint's ejection | not choosing it until its time is over | what is left of its time, less the age
 // | | an endpoint's latency | choosing among endpoints | as one's own does, within seconds | | members'
-// addresses | whom to call beside the seeds | dropped after a day: an address is only asked |
+// addresses | whom to call beside the seeds | dropped after a day: an address is only asked | | kept answers
+// of dependencies | parts of answers | by their age, against what each part declares |
 #pragma once
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +23,10 @@
 namespace granitegap::learned {
 
 inline constexpr std::size_t kMostEndpoints = 1024, kMostMembers = 512;
+// Of kept answers: how many, how long a path and a body may be, and all of them together, in bytes.
+inline constexpr std::size_t kMostParts = 512, kMostPartPath = 1024, kMostPartBody = 16 * 1024,
+                             kMostPartBytes = 128 * 1024;
+inline constexpr Duration kPartsLast = std::chrono::hours(24);
 inline constexpr Duration kLatencyLasts = std::chrono::seconds(60);
 inline constexpr Duration kMembersLast = std::chrono::hours(24);
 
@@ -34,20 +40,34 @@
   bool operator==(const Endpoint&) const = default;
 };
 
+// One kept answer of a dependency.
+struct Part {
+  std::string dependency, path;
+  std::shared_ptr<const std::string> body;  // never null
+  Duration age{};                           // since the dependency answered
+  bool operator==(const Part& o) const {
+    return dependency == o.dependency && path == o.path && age == o.age && *body == *o.body;
+  }
+};
+
 struct Learned {
   std::string by;          // the process's name
   std::uint64_t life = 0;  // which of its lives; 0: it takes part in no fleet
   std::vector<Endpoint> endpoints;
   std::vector<membership::Address> members;  // alive in the last certain view, without this one
+  std::vector<Part> parts;                   // the hottest first
   bool operator==(const Learned&) const = default;
 };
 
-// Keeps to the bounds: the endpoints with most to say, the members as they come.
+// Whether it can be among what is learned at all.
+bool fits(const Part& part);
+// Keeps to the bounds: the endpoints with most to say, members and parts as they come.
 void bound(Learned& learned);
 
 // What several say of the same, in one value: of each endpoint the weighted median of its latency, where what
 // was heard longer ago weighs less; out only where most of the weight of those that speak of it says so. One
-// that differs wildly from the others moves nothing. Each member's address once.
+// that differs wildly from the others moves nothing. Each member's address once, and of each kept answer the
+// youngest; those that several keep come first.
 Learned merged(const std::vector<Learned>& several);
 
 // As it may still be used after `age`; nothing of it that fades where the age is not known.
--- a/src/recovery/learning.cpp
+++ b/src/recovery/learning.cpp
@@ -53,7 +53,7 @@
   for (const auto& c : candidates_) {
     if (offers_.size() + open_.size() >= rules_.donors || asked_.size() >= rules_.tries) break;
     if (!asked_.insert(c.name).second) continue;
-    open_.push_back({random_() | 1, c.name, c.life, c.at, std::min(now + rules_.each, until_)});
+    open_.push_back({random_() | 1, c.name, c.life, c.at, std::min(now + rules_.each, until_), now});
     fresh.push_back(open_.back());
   }
   return fresh;
@@ -66,10 +66,12 @@
     return Verdict::late;
   }
   const bool same = q->name == offer.by && q->life == offer.life;
+  // As of when it was asked, at the worst: guards against an answer that took long and counts as new.
+  const auto on_its_way = now - q->asked;
   open_.erase(q);
   if (!same) return Verdict::foreign;
   if (!offer.in_service) return Verdict::knows_nothing;
-  offers_.push_back(offer.what);
+  offers_.push_back(learned::faded(offer.what, on_its_way));
   if (!offer.sure || offer.view_age > rules_.view_most) offers_.back().members.clear();
   from_.push_back(offer.by);
   return Verdict::taken;
--- a/src/recovery/learning.h
+++ b/src/recovery/learning.h
@@ -37,7 +37,7 @@
   std::string name;
   membership::Life life{};
   membership::Address at;  // TCP
-  TimePoint until{};
+  TimePoint until{}, asked{};
 };
 
 struct Offer {  // what a donor said
--- a/src/snapshot/keeper.cpp
+++ b/src/snapshot/keeper.cpp
@@ -41,8 +41,8 @@
   return b;
 }
 
-std::optional<Fault> Keeper::write(learned::Learned what) {
-  return write_snapshot(folder_, encode({read_stamp(), std::move(what)}));
+std::optional<Fault> Keeper::write(const Snapshot& snapshot) {
+  return write_snapshot(folder_, encode(snapshot));
 }
 
 asio::awaitable<void> Keeper::run() {
@@ -61,7 +61,8 @@
     co_await again_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
     if (ending_) co_return;
     // In a name of its own: GCC 12 destroys captures of a temporary in a co_await expression twice.
-    const auto what = std::make_shared<learned::Learned>(hooks_.collect());
+    // Stamped as it is collected: guards against ages that lack what a disk that hangs has taken.
+    const auto what = std::make_shared<Snapshot>(Snapshot{read_stamp(), hooks_.collect()});
     const auto work = [this, what]() -> asio::awaitable<std::optional<Fault>> { co_return write(*what); };
     auto fault = co_await asio::co_spawn(disk_, work, asio::use_awaitable);
     told_write(fault);
@@ -133,8 +134,8 @@
     done_ = true;
     return;
   }
-  asio::post(disk_, [this, what = hooks_.collect()]() mutable {
-    write(std::move(what));
+  asio::post(disk_, [this, what = Snapshot{read_stamp(), hooks_.collect()}] {
+    write(what);
     const auto fault = write_ended(folder_, {name_, read_stamp()});
     asio::post(executor_, [this, fault] {
       done_ = true;
--- a/src/snapshot/keeper.h
+++ b/src/snapshot/keeper.h
@@ -40,7 +40,7 @@
   };
   // On the disk's thread.
   Begun begin();
-  std::optional<Fault> write(learned::Learned what);
+  std::optional<Fault> write(const Snapshot& snapshot);
 
   void told(Begun begun);
   void told_ended(const Begun& begun, recovery::EarlierLife& found);
--- a/src/snapshot/show.cpp
+++ b/src/snapshot/show.cpp
@@ -16,9 +16,13 @@
                                 {"out_for_ms", ms(e.out_for)},
                                 {"latency_ms", ms(e.latency)},
                                 {"heard_ago_ms", ms(e.heard_ago)}});
+  out["parts"] = nlohmann::ordered_json::array();
+  for (const auto& p : s.what.parts)
+    out["parts"].push_back(
+        {{"dependency", p.dependency}, {"path", p.path}, {"bytes", p.body->size()}, {"age_ms", ms(p.age)}});
   out["members"] = nlohmann::ordered_json::array();
   for (const auto& m : s.what.members) out["members"].push_back(membership_udp::text_of(m));
-  return out.dump();
+  return out.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 }  // namespace granitegap::snapshot
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -44,6 +44,13 @@
     to->set_ip(m.ip.data(), m.v6 ? 16 : 4);
     to->set_port(m.port);
   }
+  for (const auto& part : what.parts) {
+    auto* to = p.add_parts();
+    to->set_dependency(part.dependency);
+    to->set_path(part.path);
+    to->set_body(*part.body);
+    to->set_age_us(part.age.count());
+  }
   // Long names can still make too much of it: what is left out is only warmth.
   while (p.ByteSizeLong() + kSeal > kMostSnapshot && p.endpoints_size() > 0)
     p.mutable_endpoints()->DeleteSubrange(p.endpoints_size() / 2,
@@ -61,7 +68,8 @@
   // A sum that is right says who wrote it, not that it makes sense: held against the bounds all the same.
   if (p.by().size() > kMostText || p.boot().size() > kMostText || p.since_boot_us() < 0 ||
       std::size_t(p.endpoints_size()) > learned::kMostEndpoints ||
-      std::size_t(p.members_size()) > learned::kMostMembers)
+      std::size_t(p.members_size()) > learned::kMostMembers ||
+      std::size_t(p.parts_size()) > learned::kMostParts)
     return bad;
   Snapshot s;
   s.at = {p.boot(), Duration(p.since_boot_us()), p.unix_us()};
@@ -83,6 +91,16 @@
     a.port = std::uint16_t(m.port());
     s.what.members.push_back(a);
   }
+  std::size_t together = 0;
+  for (const auto& from : p.parts()) {
+    learned::Part part{from.dependency(), from.path(), std::make_shared<const std::string>(from.body()),
+                       Duration(from.age_us())};
+    together += from.body().size() + from.path().size() + from.dependency().size();
+    if (part.dependency.size() > kMostText || !learned::fits(part) || !plausible(from.age_us()) ||
+        together > learned::kMostPartBytes)
+      return bad;
+    s.what.parts.push_back(std::move(part));
+  }
   return s;
 }
 
--- a/tests/deps_test.cpp
+++ b/tests/deps_test.cpp
@@ -603,9 +603,9 @@
   const auto key = [](std::uint64_t n) { return key_of(0, "/e/" + std::to_string(n), 5); };
   for (int round = 0; round < 20; ++round)
     for (std::uint64_t n = 0; n < 100; ++n)
-      if (!cache.find(key(n), now)) cache.put(key(n), body, now);
+      if (!cache.find(key(n), now)) cache.put(key(n), 0, "", body, now);
   for (std::uint64_t n = 1000; n < 11000; ++n) {  // each asked for once
-    if (!cache.find(key(n), now)) cache.put(key(n), body, now);
+    if (!cache.find(key(n), now)) cache.put(key(n), 0, "", body, now);
     ASSERT_LE(cache.bytes(), 200u * 1024);
   }
   int kept = 0;
@@ -613,7 +613,7 @@
   EXPECT_GT(kept, 90);
   cache.resize(10 * 1024);
   EXPECT_LE(cache.bytes(), 10u * 1024);
-  cache.put(key(1), std::make_shared<const std::string>(100000, 'x'), now);  // larger than all of it
+  cache.put(key(1), 0, "", std::make_shared<const std::string>(100000, 'x'), now);  // larger than all of it
   EXPECT_LE(cache.bytes(), 10u * 1024);
 }
 
@@ -627,7 +627,7 @@
     const auto key = key_of(1, std::to_string(n), 7);
     if (chance() % 2) {
       model[n] = std::string(chance() % 700, char('a' + chance() % 26));
-      cache.put(key, std::make_shared<const std::string>(model[n]), now);
+      cache.put(key, 1, std::to_string(n), std::make_shared<const std::string>(model[n]), now);
     } else if (const auto found = cache.find(key, now)) {
       ASSERT_EQ(*found->body, model[n]);
     }
@@ -635,6 +635,57 @@
   }
 }
 
+TEST(Cache, TellsWhatIsAskedForMost) {
+  PartCache cache(200 * 1024);
+  const TimePoint now(seconds(1));
+  const auto body = std::make_shared<const std::string>(900, 'x');
+  const auto path = [](std::uint64_t n) { return "/e/" + std::to_string(n); };
+  for (std::uint64_t n = 0; n < 20; ++n) cache.put(key_of(0, path(n), 5), 0, path(n), body, now);
+  for (int round = 0; round < 5; ++round)
+    for (const std::uint64_t n : {3u, 11u, 17u}) cache.find(key_of(0, path(n), 5), now);
+  const auto hot = cache.hottest(100);
+  ASSERT_EQ(hot.size(), 20u);
+  std::set<std::string> first;
+  for (int k = 0; k < 3; ++k) first.insert(*hot[std::size_t(k)].path);
+  EXPECT_EQ(first, (std::set{path(3), path(11), path(17)}));
+  EXPECT_EQ(cache.hottest(2).size(), 2u);
+}
+
+// What one life kept the next one has, as old as it is: fresh as long as it is fresh, stale after that.
+TEST(Gather, ANextLifeHasWhatWasKeptAtItsAge) {
+  auto spec = two_dependencies();
+  for (auto& p : spec.gathers[0].parts) p.fresh_for = seconds(10), p.stale_for = seconds(60);
+  World before(spec, 1);
+  before.ask(7);
+  before.run_for(seconds(4));
+  before.ask(8);
+  before.run_for(seconds(1));
+  learned::Learned what;
+  before.gatherer.export_to(what, before.now);
+  ASSERT_EQ(what.parts.size(), 4u);
+
+  World after(spec, 2);  // another seed: other keys
+  EXPECT_EQ(after.gatherer.learn(learned::faded(what, seconds(2)), after.now).parts, 4u);
+  const auto fresh = after.ask(7);
+  EXPECT_EQ(parts_of(after, fresh), (std::vector{S::fresh, S::fresh}));
+  EXPECT_EQ(after.outcomes[fresh].bodies[0], "data of /e/0000000000000007");
+  EXPECT_TRUE(after.starts.empty());  // asked of nobody
+  // Seven seconds old when it was learned: four later it is fresh no more, and a call is due.
+  after.run_for(seconds(4));
+  after.behaviour = [](auto, auto, auto) { return World::Reply{.never = true}; };
+  const auto stale = after.ask(7);
+  after.run_for(seconds(1));
+  EXPECT_EQ(parts_of(after, stale), (std::vector{S::stale, S::stale}));
+  EXPECT_FALSE(after.starts.empty());
+  // What it heard itself is not overruled by what is older.
+  EXPECT_EQ(after.gatherer.learn(what, after.now - seconds(30)).parts, 0u);
+  // Past every declared age, and of no known age, nothing is taken over.
+  World late(spec, 3);
+  EXPECT_EQ(late.gatherer.learn(learned::faded(what, seconds(61)), late.now).parts, 0u);
+  EXPECT_EQ(late.gatherer.learn(learned::faded(what, std::nullopt), late.now).parts, 0u);
+  expect_sound(after);
+}
+
 TEST(Path, FillsInAndEncodes) {
   const auto parse = [](std::string_view text) { return PathTemplate::parse(text); };
   std::string out;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -172,6 +172,7 @@
   a.ip = {127, 0, 0, 1};
   a.port = 9101;
   what.members = {a};
+  what.parts = {{"e.example.org", "/e?r=1", std::make_shared<const std::string>("up and down"), 3s}};
   return what;
 }
 
@@ -215,6 +216,8 @@
     a.v6 = true;
     a.port = std::uint16_t(1 + n);
     what.members.push_back(a);
+    what.parts.push_back({std::string(253, 'd'), std::string(1 + n % 1100, 'p'),
+                          std::make_shared<const std::string>(n * 37 % 20000, 'b'), 1s});
   }
   const auto made = snapshot_of(std::string(36, 'b'), 5s, 77, what);
   const auto bytes = encode(made);
--- a/tests/return_test.cpp
+++ b/tests/return_test.cpp
@@ -458,6 +458,32 @@
   EXPECT_EQ(learned::merged({says(5s, 0ms), says(0s, 10ms, 50s)}).endpoints.at(0).out_for, 5s);
 }
 
+TEST(Merged, OfKeptAnswersTheYoungestAndThoseOfSeveralFirst) {
+  const auto kept = [](std::string path, std::string body, Duration age) {
+    return learned::Part{"e", std::move(path), std::make_shared<const std::string>(std::move(body)), age};
+  };
+  Learned a, b;
+  a.parts = {kept("/only", "x", 1s), kept("/both", "old", 9s)};
+  b.parts = {kept("/both", "new", 2s)};
+  const auto m = learned::merged({a, b});
+  ASSERT_EQ(m.parts.size(), 2u);
+  EXPECT_EQ(m.parts[0], kept("/both", "new", 2s));
+  EXPECT_EQ(m.parts[1].path, "/only");
+  EXPECT_EQ(learned::faded(m, 5s).parts[0].age, 7s);
+  EXPECT_TRUE(learned::faded(m, std::nullopt).parts.empty());
+}
+
+// The time that an answer was on its way counts as age.
+TEST(Learning, AnAnswerThatTookLongIsSoMuchOlder) {
+  Learning l({}, "a", 1);
+  l.begin(kStart);
+  l.view(seen(1, 0), kStart);
+  Learned what;
+  what.parts = {{"e", "/p", std::make_shared<const std::string>("v"), 1s}};
+  EXPECT_EQ(l.answered(answer_to(l.ask(kStart).at(0), what), kStart + 250ms), Learning::Verdict::taken);
+  EXPECT_EQ(l.result().parts.at(0).age, 1250ms);
+}
+
 // ---- The bytes ----
 
 TEST(LearningCodec, ReadsWhatItWroteAndNothingElse) {
--- a/tools/fleet/crowd.cpp
+++ b/tools/fleet/crowd.cpp
@@ -113,12 +113,18 @@
         fates.push_back(f);
       }
       ++open;
-      asio::co_spawn(io, pursue(number, f, std::size_t(random() % proxies.size()), random()), asio::detached);
+      std::string body = "x";
+      if (!f.token.empty()) body = "of " + f.token;
+      if (const auto things = options.classes[f.cls].things)
+        body = "r" + std::to_string(std::uint64_t(double(things) * std::pow(roll(), 4)));
+      asio::co_spawn(io, pursue(number, f, std::size_t(random() % proxies.size()), random(), std::move(body)),
+                     asio::detached);
     }
   }
 
   // One first try and all that its habit makes of it.
-  asio::awaitable<void> pursue(std::size_t number, Fate f, std::size_t who, std::uint64_t key) {
+  asio::awaitable<void> pursue(std::size_t number, Fate f, std::size_t who, std::uint64_t key,
+                               std::string body) {
     const auto& cls = options.classes[f.cls];
     const auto due = began + std::chrono::duration_cast<Clock::duration>(f.wanted + cls.deadline);
     std::size_t last = servers;
@@ -133,13 +139,17 @@
       }
       last = server;
       ++f.tries;
+      const auto asked_at = Clock::now();
       const auto answer =
-          co_await ask(who, server, cls, f.token, std::min(due, Clock::now() + options.patience));
+          co_await ask(who, server, cls, f.token, body, std::min(due, asked_at + options.patience));
       auto& heard = proxies[who].heard[server];
       if (answer && !answer->hint.empty()) heard.hint = std::atof(answer->hint.c_str());
       if (answer && answer->code == 0) {
         f.served = true;
         f.server = std::uint16_t(server);
+        if (options.check)
+          f.wrong = options.check(cls, body, answer->body,
+                                  std::chrono::duration_cast<Duration>(Clock::now() - asked_at));
         break;
       }
       if (answer && answer->code == 1) ++f.refused;
@@ -179,7 +189,7 @@
 
   asio::awaitable<std::optional<standin::Answered>> ask(std::size_t who, std::size_t server,
                                                         const CrowdClass& cls, const std::string& token,
-                                                        Clock::time_point until) {
+                                                        const std::string& body, Clock::time_point until) {
     auto line = proxies[who].lines[server];
     const auto there = port(server);
     if (there == 0) {
@@ -209,7 +219,7 @@
     const auto t0 = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
     standin::Asked asked;
     asked.cls = cls.name;
-    asked.body = token.empty() ? "x" : "of " + token;
+    asked.body = body;
     asked.token = token;
     asked.est_ms = options.est_ms;
     char rid[17];
--- a/tools/fleet/crowd.h
+++ b/tools/fleet/crowd.h
@@ -29,6 +29,8 @@
   double share = 1, worth = 1, late_worth = 0;
   Duration aim{}, deadline{};
   bool keyed = false;
+  // What it asks about: one of so many things, the first ones most often; 0: always the same.
+  std::uint64_t things = 0;
 };
 
 struct CrowdOptions {
@@ -39,6 +41,11 @@
   std::array<double, kHabits> habits{1, 1, 1};          // weights
   Duration patience = std::chrono::milliseconds(1200);  // of one try
   int est_ms = 20;                                      // core time, as each request tells it
+  // Counts what is wrong with a served answer to `asked`, which was under way for `took`; on the crowd's
+  // thread.
+  std::function<std::uint16_t(const CrowdClass&, const std::string& asked, const std::string& body,
+                              Duration took)>
+      check;
 };
 
 // One first try and what became of it.
@@ -48,6 +55,7 @@
   std::uint8_t cls = 0, habit = 0;
   std::uint16_t server = 0;  // that served it
   std::uint16_t tries = 0, refused = 0;
+  std::uint16_t wrong = 0;  // as the options' check counts
   bool served = false, over = false;
   std::string token;
 };
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -160,12 +160,13 @@
   std::string seeds;
   const auto second = p.second.port() ? "second: {bind: \"" + text_of(p.second) + "\"}\n\t" : std::string();
   for (const auto& s : from) seeds += "\"" + s + "\", ";
-  write_file(p.folder / "operator.cue",
-             "version: 1\n" + with(options_.operator_file, "@FOLDER", (p.folder / "state").string()) +
-                 "membership: {\n\tcluster: \"trial\"\n\tbind: \"" + text_of(p.bound) +
-                 "\"\n\tadvertise: \"" + text_of(p.advertised) + "\"\n\tseeds: [" + seeds + "]\n\tzone: \"z" +
-                 std::to_string(index % std::max<std::size_t>(options_.zones, 1)) + "\"\n\t" + second +
-                 membership + "\n}\n");
+  const auto rest = "version: 1\n" + with(options_.operator_file, "@FOLDER", (p.folder / "state").string());
+  if (!options_.in_fleet) return write_file(p.folder / "operator.cue", rest);
+  write_file(p.folder / "operator.cue", rest + "membership: {\n\tcluster: \"trial\"\n\tbind: \"" +
+                                            text_of(p.bound) + "\"\n\tadvertise: \"" + text_of(p.advertised) +
+                                            "\"\n\tseeds: [" + seeds + "]\n\tzone: \"z" +
+                                            std::to_string(index % std::max<std::size_t>(options_.zones, 1)) +
+                                            "\"\n\t" + second + membership + "\n}\n");
 }
 
 void Fleet::redeclare(const std::string& name, const Names& seeds, const std::string& membership) {
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -36,6 +36,7 @@
   std::uint64_t seed = 1;
   std::string membership;  // further fields of the record, such as "period: 200ms"
   std::string operator_file = "dependencies: []\ngathers: []\n";  // the rest of it
+  bool in_fleet = true;                                           // false: declared without membership
   bool declared = true;                                      // false: no operator file, as on the platform
   bool plain = false;                                        // membership's plain policy, to measure against
   Duration repeat_window = std::chrono::milliseconds(8949);  // of keyed requests
--- a/tools/standin/dependency.cpp
+++ b/tools/standin/dependency.cpp
@@ -30,13 +30,14 @@
   Clock::time_point start;
   std::shared_ptr<Seen> seen;
   std::uint32_t busy = 0;  // of `capacity`
+  bool tells_when = false;
   Duration elapsed() const { return std::chrono::duration_cast<Duration>(Clock::now() - start); }
 };
 
 Dependency::Dependency(asio::io_context& io, Script script, std::uint64_t seed,
                        const std::vector<std::uint16_t>& ports, Clock::time_point start)
     : io_(io), seen_(std::make_shared<Seen>()) {
-  state_ = std::make_shared<State>(State{std::move(script), std::mt19937_64(seed), start, seen_, 0});
+  state_ = std::make_shared<State>(State{std::move(script), std::mt19937_64(seed), start, seen_, 0, false});
   for (std::size_t i = 0; i < ports.size(); ++i) {
     doors_.push_back(
         std::make_unique<tcp::acceptor>(io, tcp::endpoint(asio::ip::address_v4::loopback(), ports[i])));
@@ -44,6 +45,8 @@
   }
 }
 
+void Dependency::tell_when() { state_->tells_when = true; }
+
 asio::awaitable<void> Dependency::accept(std::size_t endpoint) {
   for (;;) {
     error_code error;
@@ -67,6 +70,8 @@
     const auto head = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer, kMostHead),
                                                       "\r\n\r\n", into(error));
     if (error) co_return;
+    const auto path_at = buffer.find(' ') + 1;
+    const auto path = buffer.substr(path_at, buffer.find(' ', path_at) - path_at);
     buffer.erase(0, head);
     auto& seen = *state->seen;
     const auto plan = standin::plan(state->script, endpoint, state->elapsed(), state->random);
@@ -91,8 +96,13 @@
     const auto status = [](const char* line) {
       return std::string("HTTP/1.1 ") + line + "\r\nContent-Length: 0\r\n";
     };
-    const auto whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(plan.body) + "\r\n\r\n" +
-                       std::string(plan.body, 'e');
+    std::string body;
+    if (state->tells_when)
+      body = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(state->elapsed()).count()) +
+             " " + path + "\n";
+    body.resize(std::max(plan.body, body.size()), 'e');
+    const auto whole =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     switch (plan.fault) {
       case FaultKind::none:
       case FaultKind::close:
@@ -120,7 +130,7 @@
       case FaultKind::hang:
         co_return;
       case FaultKind::hang_body: {
-        co_await say(whole.substr(0, whole.size() - (plan.body + 1) / 2));
+        co_await say(whole.substr(0, whole.size() - (body.size() + 1) / 2));
         char byte;
         co_await socket.async_read_some(asio::buffer(&byte, 1), into(error));
         co_return;
--- a/tools/standin/dependency.h
+++ b/tools/standin/dependency.h
@@ -18,6 +18,8 @@
   // One door for each port; 0: any. `start`: when its script begins.
   Dependency(boost::asio::io_context& io, Script script, std::uint64_t seed,
              const std::vector<std::uint16_t>& ports, Clock::time_point start);
+  // Answers begin with a line: the milliseconds since the start, a space, the path that was asked.
+  void tell_when();
   std::uint16_t port(std::size_t endpoint) const { return doors_[endpoint]->local_endpoint().port(); }
   struct Seen {
     std::vector<Duration> requests;  // when each came, from the start
