One member of the fleet fills a key of the parts' cache for all

Coming back, no stampede of dependencies: a fleet of n with empty caches asked for everything n times.

Change. fleet_fill of a dependency: the owner of a path by rendezvous hashing over the certain and present view asks below, the others ask it over HTTP (src/fill_http, a door like donate_port, told by membership) within half of the time left, and go on alone where it does not answer; it is then passed over for half a second, doubling. Questions name the life that is asked, nobody passes one on, and an age counts the time on the way. Where the view is in doubt nobody is asked. Decisions in src/deps/fill and the gatherer, without sockets or clocks.

--- a/bench/comeback.cpp
+++ b/bench/comeback.cpp
@@ -94,7 +94,7 @@
       for (std::size_t e = 0; e < 2; ++e)
         text += "\"127.0.0.1:" + std::to_string(services_[k]->port(e)) + "\", ";
       text += "]";
-      if (guided) text += ", fleet_open: " + std::to_string(scenario_.fleet_open);
+      if (guided) text += ", fleet_open: " + std::to_string(scenario_.fleet_open) + ", fleet_fill: true";
       text += "},\n";
     }
     text += "]\ngathers: [{class: \"route-profile\", budget: 400ms, parts: [\n";
@@ -399,7 +399,7 @@
   std::string file = SCENARIOS "/comeback_most.cue", program = PROGRAM;
   std::uint64_t seed = 1;
   std::size_t size = 24;
-  bool only_plain = false;
+  bool only_plain = false, only_guided = false;
   std::string svg, drawn;
   app.add_option("--svg", svg, "Draw served worth over time into this file");
   app.add_option("--draw", drawn, "Play nothing: draw what this file holds");
@@ -408,6 +408,7 @@
   app.add_option("--size", size, "Processes")->check(CLI::Range(2, 200));
   app.add_option("--program", program, "granitegap");
   app.add_flag("--only-plain", only_plain, "Leave the guided policy out");
+  app.add_flag("--only-guided", only_guided, "Leave the plain policy out");
   CLI11_PARSE(app, argc, argv);
   const auto draw = [&](const Json& result) {
     std::ofstream out(svg, std::ios::binary);
@@ -430,8 +431,8 @@
   try {
     Json out{{"scenario", s.name}, {"seed", seed}, {"size", size}};
     if (!only_plain) out["guided"] = play(s, program, true, seed, size);
-    out["plain"] = play(s, program, false, seed, size);
-    if (!svg.empty() && !only_plain && !draw(out)) throw std::runtime_error("can't write " + svg);
+    if (!only_guided) out["plain"] = play(s, program, false, seed, size);
+    if (!svg.empty() && !only_plain && !only_guided && !draw(out)) throw std::runtime_error("can't write " + svg);
     std::printf("%s\n", out.dump().c_str());
   } catch (const std::exception& e) {
     std::fprintf(stderr, "granitegap_bench_comeback: %s\n", e.what());
--- a/deploy/operator.schema.cue
+++ b/deploy/operator.schema.cue
@@ -28,6 +28,9 @@
 	// Calls open at once of the whole fleet together, shared evenly over the members that are there (membership has
 	// to be declared); 0: no such bound.
 	fleet_open: int & >=0 & <=1000000 | *0
+	// One member of the fleet asks for a path and tells the others, for parts that may be kept (fresh_for; membership
+	// has to be declared).
+	fleet_fill: bool | *false
 	most_waiting: int & >=0 & <=4096 | *128
 
 	// Endpoints that fail in a row are out for a while, longer each time; this share of them at most.
@@ -158,6 +161,9 @@
 	remember_failures: duration & >=0ms & <=60s | *200ms
 	// Descriptors for calls, idle connections included; they come off the platform's limit.
 	connections: int & >=1 & <=4096 | *128
+	// TCP, on the address of membership.bind: where others ask for what this process fills. 0: any that is free, which
+	// membership tells them. Opened only where a dependency has fleet_fill.
+	fill_port: int & >=0 & <=65535 | *0
 	membership?: #Membership
 	recovery?:   #Recovery
 }
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t kUsualSamples = 16;  // new ones after which what is usual is looked up anew
 constexpr Duration kUsualLasts = std::chrono::milliseconds(50);
 constexpr std::size_t kFailures = 1024;
+constexpr Duration kLeastAsked = std::chrono::milliseconds(5);  // under it another member is not asked
 constexpr std::size_t kHotLooked = 2048;  // kept answers: looked at in well under a millisecond
 constexpr unsigned kTryBits = 4, kSlotBits = 24;
 
@@ -103,6 +104,19 @@
                                                                    : PathTemplate{});
     }
   }
+  auto fills = std::make_shared<Loaded>();
+  auto each = std::make_shared<Spec>();
+  each->dependencies = spec->dependencies;
+  fills->dependency = fresh->dependency;
+  for (std::size_t d = 0; d < spec->dependencies.size(); ++d) {
+    PartSpec part;
+    part.name = "filled";
+    part.dependency = d;
+    part.required = true;
+    each->gathers.push_back({ClassId{}, {}, {std::move(part)}});
+  }
+  fills->spec = std::move(each);
+  fresh->fills = std::move(fills);
   fresh->spec = std::move(spec);
   share_limits();
   cache_.resize(fresh->spec->cache_bytes);
@@ -128,6 +142,21 @@
 void Gatherer::begin(RequestId id, ClassId cls, const Facts& facts, Duration budget, bool may_call,
                      TimePoint now) {
   if (!gathers(cls) || find_gather(id) != kNone) return;
+  const Slot slot = new_gather(id, loaded_, std::size_t(loaded_->gather_of[std::size_t(cls)]));
+  auto& g = gathers_[slot];
+  const auto& spec = what(g);
+  g.began = now;
+  g.deadline = now + (guarded_ ? std::clamp(budget, Duration{}, spec.budget) : std::max(budget, Duration{}));
+  g.may_call = may_call;
+  g.obj = facts.obj;
+  g.body.assign(facts.body);
+  g.cls.assign(facts.cls);
+  if (g.pending == 0) return finish(slot, true, now);
+  for (std::uint32_t p = 0; p < g.parts.size() && !g.over; ++p)
+    if (!spec.parts[p].needs) start_part(slot, p, now);
+}
+
+Gatherer::Slot Gatherer::new_gather(RequestId id, std::shared_ptr<const Loaded> loaded, std::size_t which) {
   if (free_gathers_.empty()) {
     gathers_.emplace_back();
     free_gathers_.push_back(Slot(gathers_.size() - 1));
@@ -137,22 +166,31 @@
   by_request_.put(hash_of(id), slot);
   auto& g = gathers_[slot];
   g.id = id;
-  g.loaded = loaded_;
-  g.which = std::size_t(loaded_->gather_of[std::size_t(cls)]);
-  const auto& spec = what(g);
-  g.began = now;
-  g.deadline = now + (guarded_ ? std::clamp(budget, Duration{}, spec.budget) : std::max(budget, Duration{}));
-  g.may_call = may_call;
+  g.loaded = std::move(loaded);
+  g.which = which;
   g.over = false;
-  g.obj = facts.obj;
-  g.body.assign(facts.body);
-  g.cls.assign(facts.cls);
-  g.parts.resize(spec.parts.size());
+  g.parts.resize(what(g).parts.size());
   for (auto& p : g.parts) p = Part{};
   g.pending = g.parts.size();
-  if (g.pending == 0) return finish(slot, true, now);
-  for (std::uint32_t p = 0; p < g.parts.size() && !g.over; ++p)
-    if (!spec.parts[p].needs) start_part(slot, p, now);
+  return slot;
+}
+
+bool Gatherer::fill(RequestId id, const FillQuestion& q, TimePoint now) {
+  const auto& declared = loaded_->spec->dependencies;
+  const auto d = std::find_if(declared.begin(), declared.end(),
+                              [&](const auto& spec) { return spec.name == q.dependency; });
+  if (d == declared.end() || !d->fleet_fill || !guarded_ || find_gather(id) != kNone) return false;
+  ++totals_.filled;
+  const auto which = std::size_t(d - declared.begin());
+  const Slot slot = new_gather(id, loaded_->fills, which);
+  auto& g = gathers_[slot];
+  g.began = now;
+  g.deadline = now + std::clamp(q.within, Duration{}, d->timeout_most);
+  g.may_call = true;
+  g.parts[0].begun = true;
+  path_ = q.path;
+  seek(slot, 0, g.loaded->dependency[which], q.fresh, true, now);
+  return true;
 }
 
 void Gatherer::start_part(Slot slot, std::uint32_t number, TimePoint now) {
@@ -167,10 +205,17 @@
   const auto d = g.loaded->dependency[spec.dependency];
   if (!g.loaded->paths[g.which][number].fill(facts, path_) || path_.empty())
     return settle(slot, number, spec.fallback ? PartStatus::fallback : PartStatus::absent, nullptr, {}, now);
-  part.key = key_of(d, path_, hash_seed_);
+  seek(slot, number, d, spec.fresh_for, !guarded_ || !deps_[d].spec.fleet_fill, now);
+}
 
-  if (const auto kept = cache_.find(part.key, now);
-      kept && kept->age <= spec.fresh_for && spec.fresh_for.count() > 0)
+void Gatherer::seek(Slot slot, std::uint32_t number, std::uint32_t d, Duration fresh, bool own,
+                    TimePoint now) {
+  auto& g = gathers_[slot];
+  auto& part = g.parts[number];
+  const auto& spec = what(g).parts[number];
+  part.key = key_of(d, path_, hash_seed_);
+  part.fresh = fresh;
+  if (const auto kept = cache_.find(part.key, now); kept && kept->age <= fresh && fresh.count() > 0)
     return settle(slot, number, PartStatus::fresh, kept->body, kept->age, now);
   if (!g.may_call) return ladder(slot, number, now);
 
@@ -208,7 +253,50 @@
   part.flight = flight;
   flights_[flight].waiters.push_back({slot, number});
   set_timer(part.deadline, TimerKind::part, slot, g.generation, number);
-  if (!joins) launch(flight, now);
+  if (!joins && (own || !ask_owner(flight, fresh, now))) launch(flight, now);
+}
+
+// One of the fleet asks below and tells the others: guards against a fleet that comes back with empty caches
+// and asks for everything once a member. In vain it costs half of the time left at the most.
+bool Gatherer::ask_owner(Slot slot, Duration fresh, TimePoint now) {
+  auto& f = flights_[slot];
+  const auto& d = deps_[f.dependency];
+  if (fresh.count() <= 0) return false;
+  const auto owner = owners_.of(fill_key(d.spec.name, f.path), now);
+  const auto within = std::min((latest_deadline(f) - now) / 2, d.spec.timeout_most);
+  if (!owner || within < kLeastAsked) return false;
+  ++totals_.owners_asked;
+  // It is told of less time than it has: its answer has a way to go.
+  f.asking = {*owner, target_of({owner->life, d.spec.name, f.path, fresh, within - within / 8}), now, true};
+  set_timer(now + within, TimerKind::owner, slot, f.generation, kOwnersTry);
+  actions_.emplace_back(
+      StartCall{call_id(slot, kOwnersTry), f.dependency, 0, &f.asking.target, &f.asking.owner});
+  return true;
+}
+
+void Gatherer::owner_ended(Slot slot, const CallReport& report, TimePoint now) {
+  auto& f = flights_[slot];
+  f.asking.open = false;
+  const auto filled = report.fate == CallFate::ok && report.body ? read_filled(*report.body) : std::nullopt;
+  if (filled) {
+    ++totals_.owners_answered;
+    owners_.answered(f.asking.owner.hash);
+    // As of when it was asked, at the worst.
+    return answered(slot, std::make_shared<const std::string>(filled->body),
+                    filled->age + (now - f.asking.since), now);
+  }
+  // It is there, and has nothing: only one that does not answer, or not sensibly, is passed over.
+  if (report.fate != CallFate::no_data && report.fate != CallFate::busy)
+    owners_.failed(f.asking.owner.hash, now);
+  owner_failed(slot, now);
+}
+
+// The rest of the way alone.
+void Gatherer::owner_failed(Slot slot, TimePoint now) {
+  auto& f = flights_[slot];
+  f.asking.open = false;
+  if (deps_[f.dependency].outage.out()) return give_up(slot, now);
+  launch(slot, now);
 }
 
 void Gatherer::ladder(Slot slot, std::uint32_t number, TimePoint now) {
@@ -324,6 +412,7 @@
   f.detached = false;
   f.only.reset();
   f.used = true;
+  f.asking.open = false;
   f.before = f.after = kNone;
   f.waiters.clear();
   by_key_.put(key.low, slot);
@@ -441,6 +530,7 @@
 
 void Gatherer::abandon_tries(Slot slot) {
   auto& f = flights_[slot];
+  if (std::exchange(f.asking.open, false)) actions_.emplace_back(AbandonCall{call_id(slot, kOwnersTry)});
   for (std::uint32_t t = 0; t < f.tried; ++t) {
     if (!f.tries[t].open) continue;
     end_try(slot, t);
@@ -472,6 +562,9 @@
   const auto bits = std::uint64_t(report.id);
   const auto number = std::uint32_t(bits & ((1u << kTryBits) - 1));
   const auto slot = Slot(bits >> kTryBits & ((1u << kSlotBits) - 1));
+  if (number == kOwnersTry && slot < flights_.size() && flights_[slot].used && flights_[slot].asking.open &&
+      call_id(slot, number) == report.id)
+    return owner_ended(slot, report, now);
   // Guards against ends of calls that were given up: their slot may be another call's by now.
   if (slot >= flights_.size() || !flights_[slot].used || number >= flights_[slot].tried ||
       call_id(slot, number) != report.id || !flights_[slot].tries[number].open) {
@@ -496,7 +589,7 @@
   }
   const auto dependency = f.dependency;
   if (report.fate == CallFate::ok) {
-    answered(slot, report.body ? report.body : std::make_shared<const std::string>(), now);
+    answered(slot, report.body ? report.body : std::make_shared<const std::string>(), {}, now);
   } else {
     remember_failure(f.key, now);
     abandon_tries(slot);
@@ -505,18 +598,26 @@
   pump(dependency, now);
 }
 
-void Gatherer::answered(Slot slot, const Bytes& body, TimePoint now) {
+void Gatherer::answered(Slot slot, const Bytes& body, Duration age, TimePoint now) {
   abandon_tries(slot);
   auto& f = flights_[slot];
-  cache_.put(f.key, f.dependency, f.path, body, now);
+  cache_.put(f.key, f.dependency, f.path, body, now - age);
   const auto generation = f.generation;
-  while (f.used && f.generation == generation && !f.waiters.empty()) {
-    const auto w = f.waiters.back();
-    f.waiters.pop_back();
+  // Another member's may be too old for some who joined the one that asked: these go on.
+  const auto serves = [&](const Waiter& w) {
+    return age.count() <= 0 || age <= gathers_[w.gather].parts[w.part].fresh;
+  };
+  for (;;) {
+    if (!f.used || f.generation != generation) return;
+    const auto next = std::find_if(f.waiters.rbegin(), f.waiters.rend(), serves);
+    if (next == f.waiters.rend()) break;
+    const auto w = *next;
+    f.waiters.erase(std::next(next).base());
     gathers_[w.gather].parts[w.part].flight = kNone;
-    settle(w.gather, w.part, PartStatus::fresh, body, Duration{}, now);
+    settle(w.gather, w.part, PartStatus::fresh, body, age, now);
   }
-  if (f.used && f.generation == generation) free_flight(slot);
+  if (!f.waiters.empty()) return owner_failed(slot, now);
+  free_flight(slot);
 }
 
 void Gatherer::give_up(Slot slot, TimePoint now) {
@@ -648,6 +749,7 @@
 // Other members may be probing it; one of them that has found it back is taken at its word for one try.
 void Gatherer::fleet(std::shared_ptr<const membership::View> view, TimePoint now) {
   fleet_ = std::move(view);
+  owners_.see(*fleet_);
   share_limits();
   for (std::uint32_t d = 0; d < deps_.size(); ++d) pump(d, now);
   for (auto& d : deps_)
@@ -745,6 +847,8 @@
              flights_[t.slot].tried == t.number + 1;
     case TimerKind::retry:
       return flights_[t.slot].generation == t.generation && flights_[t.slot].state == FlightState::pausing;
+    case TimerKind::owner:
+      return flights_[t.slot].generation == t.generation && flights_[t.slot].asking.open;
   }
   return false;
 }
@@ -784,6 +888,10 @@
     }
     case TimerKind::call:
       return time_out(t.slot, t.number, now);
+    case TimerKind::owner:
+      actions_.emplace_back(AbandonCall{call_id(t.slot, kOwnersTry)});
+      owners_.failed(flights_[t.slot].asking.owner.hash, now);
+      return owner_failed(t.slot, now);
     case TimerKind::hedge: {
       auto& d = deps_[flights_[t.slot].dependency];
       // In the same budget as retries, and never past the limit: a hedge is a luxury.
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -4,10 +4,10 @@
 //   begin -> for each part that needs no other:
 //     kept and fresh ............................................. settled: fresh
 //     the same call is in flight ................................. waits with it
-//     failed a moment ago, dependency out or asked for quiet ..... ladder
-//     under the concurrency limit ................................ called
-//     room among those that wait ................................. waits for a slot
-//     else ....................................................... ladder
+//     it may be kept, and another member fills it for the fleet .. that one is asked; if in vain, the rest of
+//     this failed a moment ago, dependency out or asked for quiet ..... ladder under the concurrency limit
+//     ................................ called room among those that wait .................................
+//     waits for a slot else ....................................................... ladder
 //   ladder: kept and stale within its bound -> stale; declared default -> fallback; else absent.
 //   A part settles once; when all have, or a required one is absent, GatherEnded follows once, never later
 //   than the gather's budget.
@@ -32,6 +32,7 @@
 #include <vector>
 
 #include "deps/endpoints.h"
+#include "deps/fill.h"
 #include "deps/latency_window.h"
 #include "deps/limits.h"
 #include "deps/part_cache.h"
@@ -66,6 +67,7 @@
   CallId id{};
   std::uint32_t dependency = 0, endpoint = 0;
   const std::string* path = nullptr;
+  const Owner* owner = nullptr;  // it goes to that member, not to an endpoint
 };
 struct AbandonCall {
   CallId id{};
@@ -93,6 +95,7 @@
   std::uint64_t asked = 0;  // parts that wanted a call
   std::uint64_t calls = 0, retries = 0, hedges = 0, probes = 0, shared = 0, shed = 0, late = 0;
   std::uint64_t fresh = 0, stale = 0, fallback = 0, absent = 0, outages = 0;
+  std::uint64_t owners_asked = 0, owners_answered = 0, filled = 0;  // filled: asked by others
   std::uint32_t most_open = 0;
 };
 
@@ -109,6 +112,9 @@
   };
   // `may_call` false: only what is kept or declared.
   void begin(RequestId id, ClassId cls, const Facts& facts, Duration budget, bool may_call, TimePoint now);
+  // What another member asks of this one, the owner of that key: GatherEnded follows, and parts() has the one
+  // value where it is whole enough. False where nothing of the kind is declared here.
+  bool fill(RequestId id, const FillQuestion& question, TimePoint now);
   void abandon(RequestId id, TimePoint now);  // no GatherEnded follows
   void ended(const CallReport& report, TimePoint now);
   void tick(TimePoint now);
@@ -152,12 +158,14 @@
   using Slot = SlotIndex::Slot;
   static constexpr Slot kNone = SlotIndex::kNone;
   static constexpr std::size_t kMostTries = 4;
+  static constexpr std::uint32_t kOwnersTry = 15;  // the number of the one that goes to a member
 
   struct Loaded {  // a spec, made ready
     std::shared_ptr<const Spec> spec;
     std::vector<std::uint32_t> dependency;         // the spec's number -> ours
     std::vector<std::vector<PathTemplate>> paths;  // by gather and part
     std::vector<std::int32_t> gather_of;           // by class; -1: none
+    std::shared_ptr<const Loaded> fills;           // a gather of one part for each of the dependencies
   };
   struct Part {
     PartStatus status = PartStatus::pending;
@@ -165,7 +173,7 @@
     Slot flight = kNone;
     TimePoint deadline{};
     Key key;
-    Duration age{};
+    Duration age{}, fresh{};  // fresh: the most that may be
     Bytes body;
   };
   struct Gather {
@@ -200,6 +208,12 @@
     bool detached = false;                // a probe, for which nobody waits
     std::optional<std::uint32_t> only{};  // the endpoint that it is for
     bool used = false;
+    struct Asking {  // the owner
+      Owner owner;
+      std::string target;
+      TimePoint since{};
+      bool open = false;
+    } asking{};
     Slot before = kNone, after = kNone;  // among those that wait for a slot
     std::vector<Waiter> waiters;
   };
@@ -236,7 +250,7 @@
     Key key;
     TimePoint until{};
   };
-  enum class TimerKind : std::uint8_t { part, call, hedge, retry };
+  enum class TimerKind : std::uint8_t { part, call, hedge, retry, owner };
   struct Timer {
     TimePoint at;
     std::uint64_t order;
@@ -247,6 +261,7 @@
   };
 
   std::shared_ptr<const membership::View> fleet_;
+  Owners owners_;
   void share_limits();
   // The longest that any part may still take a kept answer of it.
   Duration kept_for(std::uint32_t dependency) const;
@@ -258,7 +273,14 @@
   bool stands(const Timer& t) const;
   void fire(const Timer& t, TimePoint now);
 
+  Slot new_gather(RequestId id, std::shared_ptr<const Loaded> loaded, std::size_t which);
   void start_part(Slot gather, std::uint32_t part, TimePoint now);
+  // Once its path is in path_. `own`: not by asking another member.
+  void seek(Slot gather, std::uint32_t part, std::uint32_t dependency, Duration fresh, bool own,
+            TimePoint now);
+  bool ask_owner(Slot flight, Duration fresh, TimePoint now);
+  void owner_ended(Slot flight, const CallReport& report, TimePoint now);
+  void owner_failed(Slot flight, TimePoint now);
   void ladder(Slot gather, std::uint32_t part, TimePoint now);
   void settle(Slot gather, std::uint32_t part, PartStatus status, Bytes body, Duration age, TimePoint now);
   void finish(Slot gather, bool whole_enough, TimePoint now);
@@ -272,7 +294,7 @@
                   std::optional<Duration> retry_after, TimePoint now);
   void time_out(Slot flight, std::uint32_t number, TimePoint now);
   void after_failure(Slot flight, TimePoint now);
-  void answered(Slot flight, const Bytes& body, TimePoint now);
+  void answered(Slot flight, const Bytes& body, Duration age, TimePoint now);
   void give_up(Slot flight, TimePoint now);
   void abandon_tries(Slot flight);
   void free_flight(Slot flight);
--- a/src/deps/spec.h
+++ b/src/deps/spec.h
@@ -33,6 +33,7 @@
   std::uint32_t least_open = 2, most_open = 64;  // bounds of the concurrency limit
   // Of the whole fleet together, shared evenly over the members that are there; 0: no such bound.
   std::uint32_t fleet_open = 0;
+  bool fleet_fill = false;           // one member of the fleet fills a key for all
   std::uint32_t most_waiting = 128;  // calls that wait for it
 
   double most_ejected = 0.5;  // of the endpoints, rounded down
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -13,6 +13,7 @@
 // Before the end of the grace: the notice is heard a little after it was given.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(100);
 constexpr Duration kCourseEvery = std::chrono::milliseconds(100);
+constexpr std::size_t kFillHead = 24;                       // an age before what a member has filled
 constexpr Duration kBootsApart = std::chrono::seconds(2);   // between two words of one start
 constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
@@ -142,6 +143,14 @@
 
 void Edge::on(const Closing&) { closing_ = true; }
 
+void Edge::on(const FillAsked& asked) {
+  const RequestId id{next_id_++};
+  fills_.emplace(id, asked.tag);
+  if (gatherer_ && gatherer_->fill(id, asked.question, now_.steady)) return pass_on_calls();
+  fills_.erase(id);
+  out_.emplace_back(FillAnswer{asked.tag, nullptr, {}});
+}
+
 void Edge::guide_return(const recovery::CourseRules& rules, TimePoint started) {
   course_.emplace(rules, started);
 }
@@ -589,9 +598,11 @@
   for (const auto& action : gatherer_->actions()) {
     if (const auto* start = std::get_if<deps::StartCall>(&action)) {
       const auto& d = gatherer_->dependency(start->dependency);
-      out_.emplace_back(CallBelow{start->id, *start->path,
-                                  gatherer_->address(start->dependency, start->endpoint), d.name,
-                                  d.most_answer, d.most_header, d.quiet_most, d.idle_most, d.most_idle});
+      out_.emplace_back(
+          CallBelow{start->id, *start->path,
+                    start->owner ? start->owner->at : gatherer_->address(start->dependency, start->endpoint),
+                    d.name, d.most_answer + (start->owner ? kFillHead : 0), d.most_header, d.quiet_most,
+                    d.idle_most, d.most_idle});
     } else if (const auto* drop = std::get_if<deps::AbandonCall>(&action)) {
       out_.emplace_back(DropCall{drop->id});
     } else if (const auto* ended = std::get_if<deps::GatherEnded>(&action)) {
@@ -608,6 +619,15 @@
 }
 
 void Edge::gather_ended(const deps::GatherEnded& ended) {
+  if (const auto fill = fills_.find(ended.id); fill != fills_.end()) {
+    FillAnswer a{fill->second, nullptr, {}};
+    const auto parts = gatherer_->parts(ended.id);
+    if (ended.whole_enough && parts.size() == 1) a.body = parts[0].body, a.age = parts[0].age;
+    fills_.erase(fill);
+    gatherer_->release(ended.id);
+    out_.emplace_back(std::move(a));
+    return;
+  }
   auto* o = find(ended.id);
   if (o && o->work == Work::gathering && o->calling)
     for (const auto& part : gatherer_->parts(ended.id))
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -98,6 +98,7 @@
   void on(const LearnedNews& news);
   void on(const LearningOver& over);
   void on(const Closing& closing);
+  void on(const FillAsked& asked);
   void mind_course();
   void tell_course();
   bool waits_out(const Request& request);
@@ -161,6 +162,7 @@
   KeyTable keys_;
   std::optional<deps::Gatherer> gatherer_;
   std::vector<deps::GatherEnded> ended_gathers_;
+  std::map<RequestId, std::uint64_t> fills_;  // asked by other members: their tags
   Compose compose_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::map<std::uint64_t, Origin> deep_checks_;
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -122,6 +122,15 @@
 struct FleetNews {  // who else is there, by the newest view
   std::shared_ptr<const membership::View> view;
 };
+struct FillAsked {  // by another member, of what this one fills for all
+  std::uint64_t tag = 0;
+  deps::FillQuestion question;
+};
+struct FillAnswer {  // without a body: there is none in time
+  std::uint64_t tag = 0;
+  deps::Bytes body;
+  Duration age{};
+};
 struct EarlierLifeNews {  // what is found of the life before this one
   recovery::EarlierLife found;
 };
@@ -179,9 +188,10 @@
   Origin from;
 };
 
-using Input = std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted,
-                           RunReport, CommandRejected, Gauges, DeepCheckDone, deps::CallReport,
-                           NewDeclaration, FleetNews, EarlierLifeNews, LearnedNews, LearningOver, Closing>;
+using Input =
+    std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
+                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews,
+                 EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
 
 struct AskOthers {};  // what they know: the memory of this process is blank, or old
 
@@ -198,6 +208,6 @@
   std::string subject;
 };
 using Output = std::variant<Answer, HealthAnswer, Command, Report, CloseIdlePeers, Remark, CallBelow,
-                            DropCall, AskOthers>;
+                            DropCall, AskOthers, FillAnswer>;
 
 }  // namespace granitegap::edge
--- /dev/null
+++ b/src/fill_http/door.cpp
@@ -0,0 +1,120 @@
+#include "fill_http/door.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace granitegap::fill_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using beast::error_code;
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMostQuestion = 4096;
+constexpr auto kIdle = 30s, kWrite = 2s;
+
+auto into(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+}  // namespace
+
+struct Door::Waiting {
+  explicit Waiting(const asio::any_io_executor& executor) : over(executor) {}
+  asio::steady_timer over;
+  std::optional<edge::FillAnswer> answer;
+};
+
+Door::Door(const asio::any_io_executor& executor, const Tcp::endpoint& at, Logger& log)
+    : executor_(executor), log_(log), door_(executor, at) {
+  log_.line("fill: others ask for keys at port " + std::to_string(port()),
+            {{"event", "fill_door"}, {"port", std::int64_t(port())}});
+}
+
+void Door::begin(membership::Life life, Hooks hooks) {
+  life_ = life;
+  hooks_ = std::move(hooks);
+}
+
+void Door::close() {
+  closed_ = true;
+  error_code ignored;
+  door_.close(ignored);
+}
+
+void Door::answer(edge::FillAnswer answer) {
+  const auto it = waiting_.find(answer.tag);
+  if (it == waiting_.end()) return;  // it waits no more
+  it->second->answer = std::move(answer);
+  it->second->over.cancel();
+}
+
+asio::awaitable<void> Door::serve() {
+  while (!closed_) {
+    error_code error;
+    auto socket = co_await door_.async_accept(into(error));
+    if (closed_) co_return;
+    if (error) {  // as with no descriptor left: no reason to spin
+      asio::steady_timer pause(executor_, 50ms);
+      co_await pause.async_wait(into(error));
+      continue;
+    }
+    const auto from = socket.remote_endpoint(error);
+    // Guards against a fleet whose members each keep as many as they like: they ask below themselves.
+    if (error || connections_ >= kMostConnections || !hooks_.may_ask(from.address())) continue;
+    asio::co_spawn(executor_, converse(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> Door::converse(Tcp::socket socket) {
+  struct Counted {
+    std::size_t& n;
+    explicit Counted(std::size_t& count) : n(count) { ++n; }
+    ~Counted() { --n; }
+  } const counted(connections_);
+  error_code error;
+  socket.set_option(Tcp::no_delay(true), error);
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer(2 * kMostQuestion);
+  while (!closed_) {
+    http::request_parser<http::empty_body> parser;
+    parser.header_limit(kMostQuestion);
+    stream.expires_after(kIdle);
+    co_await http::async_read(stream, buffer, parser, into(error));
+    if (error) co_return;
+    const auto& request = parser.get();
+    http::response<http::string_body> response(http::status::bad_request, request.version());
+    response.keep_alive(request.keep_alive());
+    const auto target = request.target();
+    auto question = deps::read_target({target.data(), target.size()});
+    if (question && question->to != life_) {
+      response.result(http::status::gone);  // of an earlier life, or of whoever had this port then
+    } else if (question) {
+      const auto waiting = std::make_shared<Waiting>(executor_);
+      const auto within = question->within;
+      waiting->over.expires_after(within + within / 5);
+      const auto tag = next_++;
+      waiting_.emplace(tag, waiting);
+      if (hooks_.ask({tag, std::move(*question)})) co_await waiting->over.async_wait(into(error));
+      waiting_.erase(tag);
+      if (const auto& a = waiting->answer; a && a->body) {
+        response.result(http::status::ok);
+        response.body() = deps::filled(a->age, *a->body);
+      } else {
+        response.result(a ? http::status::not_found : http::status::service_unavailable);
+      }
+    }
+    response.prepare_payload();
+    stream.expires_after(kWrite);
+    co_await http::async_write(stream, response, into(error));
+    if (error || !response.keep_alive()) co_return;
+  }
+}
+
+}  // namespace granitegap::fill_http
--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -17,6 +17,7 @@
 std::size_t most_bytes(const Told& t) {
   return kFrame + kSmall * 4 + 2 * kFixed64 + text(t.zone) + (t.twin ? kAddress : 0) +
          (t.second ? kAddress : 0) + (t.course == Course{} ? 0 : kFrame + 4 * kSmall) +
+         (t.fill_port ? kSmall : 0) +
          t.links.size() * (kFrame + kFixed64 + 2) + t.findings.size() * (kFrame + kFixed64 + 2);
 }
 
--- a/src/membership/digest.cpp
+++ b/src/membership/digest.cpp
@@ -20,6 +20,7 @@
     // Not what is offered: it is told in steps, and the last one brings the phase with it.
     what[6] = std::uint64_t(told->course.phase) | std::uint64_t(told->course.donor_port) << 8 |
               std::uint64_t(told->course.full_ms) << 24;
+    what[4] = told->fill_port;
     for (const auto& l : told->links) what[4] += (l.peer ^ l.inward) * 0x9e3779b97f4a7c15ull;
     for (const auto& f : told->findings) what[5] += (f.endpoint ^ f.out) * 0x9e3779b97f4a7c15ull;
   }
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -40,6 +40,7 @@
   told_.version = 1;
   told_.zone = self_.zone;
   told_.second = self_.second;
+  told_.fill_port = self_.fill_port;
   told_.generation = incarnation_;
   spread_.add(own_record(true), now);
 }
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -44,7 +44,8 @@
   Address address;  // advertised
   Address second;   // the same of a second path, where there is one
   Life life{};
-  Incarnation first = 1;  // of this life; beyond it where an earlier life is heard of
+  Incarnation first = 1;        // of this life; beyond it where an earlier life is heard of
+  std::uint16_t fill_port = 0;  // Told::fill_port
 };
 
 struct Send {
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -75,6 +75,7 @@
   Address twin;    // another live process under its name, where there is one
   Address second;  // where it is reached by another path, should it have one
   Course course;
+  std::uint16_t fill_port = 0;  // TCP, on the address it advertises: fills keys for others; 0: it does not
   Life beyond{};  // an earlier life that this one has superseded
   std::vector<LinkFault> links;
   std::vector<Finding> findings;
--- a/src/membership_udp/actor.cpp
+++ b/src/membership_udp/actor.cpp
@@ -37,7 +37,7 @@
       log_(log),
       member_(settings_.options,
               Identity{std::move(name), settings_.zone, settings_.advertise, settings_.second_advertise,
-                       Life(life), first},
+                       Life(life), first, settings_.fill_port},
               seed, hooks_.clock()),
       socket_(executor),
       second_(executor),
--- a/src/membership_udp/codec.cpp
+++ b/src/membership_udp/codec.cpp
@@ -64,6 +64,7 @@
   if (t.twin) put(t.twin, to->mutable_twin());
   if (t.second) put(t.second, to->mutable_second());
   if (t.course != Course{}) put(t.course, to->mutable_course());
+  to->set_fill_port(t.fill_port);
   to->set_beyond(std::uint64_t(t.beyond));
   for (const auto& l : t.links) {
     auto* link = to->add_links();
@@ -148,6 +149,7 @@
   }
   Told told_of(const wire::Told& t) {
     need(t.stage() <= std::uint32_t(Stage::leaving) && t.warmth() <= 100 && t.pressed() <= 100);
+    need(t.fill_port() <= 65535);
     need(t.zone().size() <= kMostZone && t.links_size() <= int(kMostLinkFaults) &&
          t.findings_size() <= int(kMostFindings));
     for (const char c : t.zone()) need(c > ' ' && c < 127);
@@ -161,6 +163,7 @@
     if (t.has_twin()) to.twin = address_of(t.twin());
     if (t.has_second()) to.second = address_of(t.second());
     if (t.has_course()) to.course = course_of(t.course());
+    to.fill_port = std::uint16_t(t.fill_port());
     to.beyond = Life(t.beyond());
     for (const auto& l : t.links()) to.links.push_back({l.peer(), l.inward()});
     for (const auto& f : t.findings()) to.findings.push_back({f.endpoint(), f.out()});
--- a/src/operators/operator_file.cpp
+++ b/src/operators/operator_file.cpp
@@ -54,6 +54,11 @@
     to.spec.remember_failures = top["remember_failures"].as_span();
     to.connections = std::size_t(top["connections"].as_int());
     if (const auto* m = top.find("membership")) to.membership = membership(*m);
+    to.fill_port = std::uint16_t(top["fill_port"].as_int());
+    for (std::size_t i = 0; i < dependencies.size(); ++i)
+      if (to.spec.dependencies[i].fleet_fill && !to.membership)
+        fail(dependencies[i]["fleet_fill"], "dependencies[" + std::to_string(i) + "].fleet_fill",
+             "expected membership beside it: without it there is nobody to fill it for");
     for (std::size_t i = 0; i < dependencies.size(); ++i)
       if (to.spec.dependencies[i].fleet_open > 0 && !to.membership)
         fail(dependencies[i]["fleet_open"], "dependencies[" + std::to_string(i) + "].fleet_open",
@@ -115,6 +120,7 @@
     d.least_open = whole("least_open");
     d.most_open = whole("most_open");
     d.fleet_open = whole("fleet_open");
+    d.fleet_fill = v["fleet_fill"].as_bool();
     d.most_waiting = whole("most_waiting");
     d.most_ejected = v["most_ejected"].as_number();
     d.eject_for = v["eject_for"].as_span();
--- a/src/operators/operator_file.h
+++ b/src/operators/operator_file.h
@@ -21,6 +21,12 @@
   std::vector<std::pair<std::string, records::Position>> classes;  // of the gathers, in order
   std::size_t connections = 128;
   std::optional<membership_udp::Settings> membership;
+  std::uint16_t fill_port = 0;
+  bool fills() const {
+    for (const auto& d : spec.dependencies)
+      if (d.fleet_fill) return membership.has_value();
+    return false;
+  }
   struct Recovery {
     bool wait_out = true;  // keyed requests, after memory was lost
     std::string folder;    // empty: none
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -57,10 +57,13 @@
   return edge;
 }
 
-// Calls below take their descriptors from the same limit, and never more than half of it.
+// Calls below, and the door where others ask, take their descriptors from the same limit, and never more than
+// half of it.
 std::size_t Server::sockets_for_peers(const config::Config& config, const Extras& extras) {
   const auto all = config.limits.sockets;
-  return extras.declared ? all - std::min(extras.declared->connections, all / 2) : all;
+  if (!extras.declared) return all;
+  const auto door = extras.declared->fills() ? fill_http::Door::kMostConnections : 0;
+  return all - std::min(extras.declared->connections + door, all / 2);
 }
 
 Server::Server(asio::io_context& context, config::Config config, Extras extras,
@@ -79,11 +82,25 @@
                 sockets_for_peers(config_, extras_), config_.catalog, module_.mailbox(), log_) {
   clocks_ = std::move(clocks);
   if (!extras_.declared) return;
+  if (extras_.declared->fills()) {
+    auto& m = *extras_.declared->membership;
+    fill_door_ = std::make_unique<fill_http::Door>(
+        context.get_executor(),
+        asio::ip::tcp::endpoint(membership_udp::endpoint_of(m.bind).address(), extras_.declared->fill_port),
+        log_);
+    m.fill_port = fill_door_->port();
+  }
   if (extras_.declared->membership) join_fleet();
+  if (fill_door_)
+    fill_door_->begin(fleet_->member().self().life,
+                      {[this](const asio::ip::address& who) { return fleet_->may_ask(who); },
+                       [this](edge::FillAsked asked) { return module_.mailbox().post(std::move(asked)); }});
   if (const auto& r = extras_.declared->recovery; r && !r->folder.empty()) keep_learned(*r);
   if (const auto& r = extras_.declared->recovery; r && r->guided && fleet_) learn_from_others();
   // Ends of calls always find room: the limits on open calls bound their number.
-  caller_.emplace(context.get_executor(), config_.limits.sockets - sockets_for_peers(config_, extras_),
+  const auto door = fill_door_ ? fill_http::Door::kMostConnections : 0;
+  const auto apart = config_.limits.sockets - sockets_for_peers(config_, extras_);
+  caller_.emplace(context.get_executor(), apart - std::min(door, apart / 2),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
 }
 
@@ -213,6 +230,7 @@
     if (fleet_->has_second()) spawn(fleet_->receive_second());
     spawn(fleet_->run());
   }
+  if (fill_door_) spawn(fill_door_->serve());
   if (keeper_) spawn(keeper_->run());
   if (learning_) {
     learning_->begin();
@@ -268,6 +286,10 @@
     module_.mailbox().post_control(edge::LearningOver{});
 }
 
+void Server::carry_out(edge::FillAnswer&& answer) {
+  if (fill_door_) fill_door_->answer(std::move(answer));
+}
+
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
   log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left",
@@ -367,6 +389,7 @@
             {{"event", all ? "left" : "left_unsent"}});
   if (caller_) caller_->close_all();
   if (learning_) learning_->close();
+  if (fill_door_) fill_door_->close();
   context_.stop();
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -8,6 +8,7 @@
 #include "config/config.h"
 #include "deps_http/caller.h"
 #include "edge/module_actor.h"
+#include "fill_http/door.h"
 #include "kernel/link.h"
 #include "learning_tcp/actor.h"
 #include "log/logger.h"
@@ -53,6 +54,7 @@
   void carry_out(edge::CallBelow&& call);
   void carry_out(edge::DropCall&& drop);
   void carry_out(edge::AskOthers&& ask);
+  void carry_out(edge::FillAnswer&& answer);
   boost::asio::awaitable<void> leave();
   void join_fleet();
   void learn_from_others();
@@ -75,6 +77,7 @@
   std::unique_ptr<membership_udp::Actor> fleet_;  // only where it is declared
   std::unique_ptr<snapshot::Keeper> keeper_;      // the same
   std::unique_ptr<learning_tcp::Actor> learning_;
+  std::unique_ptr<fill_http::Door> fill_door_;
   edge::ModuleActor::Clocks clocks_;
   bool leaving_ = false;
 };
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -2,15 +2,19 @@
 // the kernel counts decide, never times.
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <thread>
 
 #include "fleet/runner.h"
 #include "snapshot/snapshot.h"
 #include "standin/caller.h"
+#include "standin/dependency.h"
 
 namespace granitegap::fleet {
 namespace {
@@ -470,6 +474,119 @@
       << f.log("n2");
 }
 
+// A service below that counts what it is asked.
+class Service {
+ public:
+  Service() : service_(io_, script(), 1, {0}, standin::Dependency::Clock::now()) {
+    service_.tell_when();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~Service() {
+    io_.stop();
+    thread_.join();
+  }
+  // One endpoint and no second tries, so that calls are counted and nothing else; the rest of it in `fields`.
+  std::string declared(const std::string& fields) const {
+    return "dependencies: [{name: \"e.example.org\", endpoints: [\"127.0.0.1:" +
+           std::to_string(service_.port(0)) + "\"], hedge_after: 0, most_tries: 1, " + fields +
+           "}]\ngathers: [{class: \"route-profile\", budget: 4s, parts: [{name: \"e\", from: "
+           "\"e.example.org\", path: \"/e?r={body}\", fresh_for: 10m}]}]\n";
+  }
+  std::size_t calls() {
+    std::promise<std::size_t> n;
+    boost::asio::post(io_, [&] { n.set_value(service_.seen().requests.size()); });
+    return n.get_future().get();
+  }
+
+ private:
+  static standin::Script script() {
+    standin::Phase phase;
+    phase.shape = standin::Shape::fixed;
+    phase.latency = 20ms;
+    return {{phase}, {}};
+  }
+  boost::asio::io_context io_;
+  standin::Dependency service_;
+  std::thread thread_;
+};
+Options over(const Service& service, const std::string& fields, std::size_t size) {
+  auto o = Ways::made(size, "");
+  const std::string none = "dependencies: []\ngathers: []\n";
+  o.operator_file.replace(o.operator_file.find(none), none.size(), service.declared(fields));
+  return o;
+}
+struct Profiles : Ways {
+  using Ways::Ways;
+  // Served with its part.
+  bool whole(const std::string& name, const std::string& route) {
+    const auto a = standin::Caller(port(name)).ask({"route-profile", route, {}, {}, 5});
+    return a && a->code == 0 && a->body.find(" /e?r=" + route + "\n") != std::string::npos;
+  }
+};
+
+// Of what all ask for one member asks below, and tells the others; also while that one stands still.
+TEST(Return, OneMemberAsksBelowForAll) {
+  Service service;
+  Profiles f(4, over(service, "fleet_fill: true", 4));
+  f.form();
+  ASSERT_TRUE(f.all_in_service());
+  // Until each knows of the others' doors: then a route that is new to all costs one call.
+  int n = 0;
+  const auto one_call = [&] {
+    const auto before = service.calls();
+    const auto route = "new" + std::to_string(++n);
+    for (const auto& name : f.names())
+      if (!f.whole(name, route)) return false;
+    return service.calls() == before + 1;
+  };
+  ASSERT_TRUE(f.until(one_call, kLong)) << f.state();
+  const auto before = service.calls();
+  std::vector<std::thread> asks;
+  std::atomic<int> good = 0;
+  for (const auto& name : f.names())
+    asks.emplace_back([&, name] {
+      for (int k = 0; k < 20; ++k) good += f.whole(name, "r" + std::to_string(k));
+    });
+  for (auto& a : asks) a.join();
+  EXPECT_EQ(good, 80);
+  // A stall of this machine may cost one a question to its owner: far fewer than the eighty of each for
+  // itself.
+  EXPECT_GE(service.calls(), before + 20);
+  EXPECT_LT(service.calls(), before + 40);
+  f.pause("n1");  // it fills a quarter of them
+  for (int k = 0; k < 12; ++k) EXPECT_TRUE(f.whole(k % 2 ? "n0" : "n2", "paused" + std::to_string(k)));
+  f.resume("n1");
+  EXPECT_TRUE(f.until([&] { return f.agree(); }, kLong));
+}
+
+// What was kept outlives its process, by its snapshot, and the fleet's by those that are asked.
+TEST(Return, KeptAnswersOutliveTheirProcess) {
+  for (const bool alone : {true, false}) {
+    Service service;
+    auto o = over(service, "", alone ? 1 : 3);
+    if (alone)
+      o.operator_file.replace(o.operator_file.find("recovery: {"), 11, "recovery: {folder: \"@FOLDER\", ");
+    Profiles f(alone ? 1 : 3, o);
+    f.form();
+    ASSERT_TRUE(f.all_in_service());
+    for (const auto& name : f.names())
+      for (int k = 0; k < 10; ++k) ASSERT_TRUE(f.whole(name, "r" + std::to_string(k)));
+    const auto before = service.calls();
+    if (alone) {
+      f.end("n0");  // in order: the last snapshot is written
+      ASSERT_TRUE(f.until([&] { return f.ended("n0"); }, kLong));
+    } else {
+      f.kill("n0");
+    }
+    f.start("n0");
+    ASSERT_TRUE(
+        f.until([&] { return f.says("kept answers from", "n0") && f.port("n0") && f.answers("n0"); }, kLong))
+        << f.log("n0");
+    for (int k = 0; k < 10; ++k) EXPECT_TRUE(f.whole("n0", "r" + std::to_string(k)));
+    EXPECT_EQ(service.calls(), before);
+  }
+}
+
 // Donors that stand still in the middle give their place to others; what they send when they wake is
 // nobody's.
 TEST(Return, ADonorThatStandsStillIsLeftForTheNext) {
--- a/tests/membership_codec_test.cpp
+++ b/tests/membership_codec_test.cpp
@@ -33,6 +33,7 @@
            {},
            {},
            {},
+           std::uint16_t(random()),
            Life(random()),
            {},
            {}};
