--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -101,12 +101,13 @@
   events_.emplace_back(arrived);
 }
 
-void Edge::wait_out_lost_memory(Duration clock_back_most, TimePoint started) {
+void Edge::wait_out_lost_memory(Duration clock_back_most, bool has_folder, TimePoint started) {
   recovery::LostMemory::Rules rules;
   const auto by_class = key_rules(settings_.settings);
   for (std::size_t i = 0; i < by_class.size(); ++i)
     rules.windows.push_back(catalog_.is_keyed(ClassId(i)) ? by_class[i].window : Duration{});
   rules.clock_back_most = clock_back_most;
+  rules.has_folder = has_folder;
   lost_memory_.emplace(std::move(rules), started);
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -32,7 +32,7 @@
 
   // Keyed requests wait out what an earlier life may have run; before the first step. `margin` and the like
   // are the rules' own, windows come from the settings.
-  void wait_out_lost_memory(Duration clock_back_most, TimePoint started);
+  void wait_out_lost_memory(Duration clock_back_most, bool has_folder, TimePoint started);
 
   // How it comes back is guided: before the first step.
   void guide_return(const recovery::CourseRules& rules, TimePoint started);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -100,6 +100,8 @@
     fresh_config.async_wait(reload);
     server.start();
     context.run();
+    // Guards against an end that waits for a disk that hangs: all is answered, and the kill would come.
+    if (server.disk_hangs()) std::_Exit(0);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "granitegap: %s\n", e.what());
     return 1;
--- a/src/recovery/lost_memory.cpp
+++ b/src/recovery/lost_memory.cpp
@@ -4,7 +4,8 @@
 
 namespace granitegap::recovery {
 
-LostMemory::LostMemory(Rules rules, TimePoint started) : rules_(std::move(rules)), latest_(started) {}
+LostMemory::LostMemory(Rules rules, TimePoint started)
+    : rules_(std::move(rules)), latest_(started), held_(rules_.has_folder) {}
 
 void LostMemory::learn(const EarlierLife& found, TimePoint now) {
   held_ = found.end_stays;
--- a/src/recovery/lost_memory.h
+++ b/src/recovery/lost_memory.h
@@ -40,6 +40,9 @@
     std::vector<Duration> windows;                     // by class; zero: not keyed
     Duration margin = std::chrono::seconds(2);         // clocks apart, and a request on its way
     Duration clock_back_most = std::chrono::hours(1);  // of clock_behind
+    // There is a directory: until it has been looked at an orderly end may stay there for a third life to
+    // find, however long the disk takes.
+    bool has_folder = false;
   };
   LostMemory(Rules rules, TimePoint started);
   // `now` is when it was found.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -43,7 +43,7 @@
         extras.guarded);
   if (!extras.declared || !extras.declared->recovery) return edge;
   const auto& r = *extras.declared->recovery;
-  if (r.wait_out) edge.wait_out_lost_memory(r.clock_back_most, started);
+  if (r.wait_out) edge.wait_out_lost_memory(r.clock_back_most, !r.folder.empty(), started);
   if (r.guided) {
     recovery::CourseRules rules;
     rules.first = r.first;
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -41,6 +41,8 @@
   void reload(std::variant<operators::Declared, operators::Errors> loaded);
   boost::asio::ip::tcp::endpoint local() const { return listener_.local(); }
   edge::ModuleActor& module() { return module_; }
+  // Once the context has ended: a disk still holds a thread, which nobody can wait for.
+  bool disk_hangs() const { return keeper_ && keeper_->at_work(); }
 
  private:
   void spawn(boost::asio::awaitable<void> actor);
--- a/src/snapshot/keeper.cpp
+++ b/src/snapshot/keeper.cpp
@@ -14,6 +14,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kAgain = 200ms;  // until the directory is ours
+constexpr auto kSlow = 1s;      // after which a line says what does not happen meanwhile
 
 }  // namespace
 
@@ -25,7 +26,8 @@
       every_(every),
       hooks_(std::move(hooks)),
       log_(log),
-      again_(executor) {}
+      again_(executor),
+      slow_(executor) {}
 
 Keeper::~Keeper() { disk_.join(); }
 
@@ -45,11 +47,31 @@
   return write_snapshot(folder_, encode(snapshot));
 }
 
+template <class F>
+auto Keeper::on_disk(F work, const char* meanwhile) -> asio::awaitable<decltype(work())> {
+  slow_.expires_after(kSlow);
+  slow_.async_wait([this, meanwhile](const boost::system::error_code& error) {
+    if (!error)
+      log_.line("recovery: " + folder_.string() + " does not answer: " + meanwhile,
+                {{"event", "recovery_disk_slow"}});
+  });
+  ++at_work_;
+  // In a name of its own: GCC 12 destroys captures of a temporary in a co_await expression twice.
+  const auto task = [this, work]() -> asio::awaitable<decltype(work())> {
+    auto result = work();
+    --at_work_;
+    co_return result;
+  };
+  auto result = co_await asio::co_spawn(disk_, task, asio::use_awaitable);
+  slow_.cancel();
+  co_return result;
+}
+
 asio::awaitable<void> Keeper::run() {
   boost::system::error_code woken;
   while (!owned_ && !ending_) {
-    const auto work = [this]() -> asio::awaitable<Begun> { co_return begin(); };
-    auto begun = co_await asio::co_spawn(disk_, work, asio::use_awaitable);
+    const auto work = [this] { return begin(); };
+    auto begun = co_await on_disk(work, "keyed requests are refused until it does, reads go on");
     told(std::move(begun));
     if (owned_) break;
     again_.expires_after(kAgain);
@@ -60,11 +82,10 @@
     again_.expires_after(every_);
     co_await again_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
     if (ending_) co_return;
-    // In a name of its own: GCC 12 destroys captures of a temporary in a co_await expression twice.
     // Stamped as it is collected: guards against ages that lack what a disk that hangs has taken.
     const auto what = std::make_shared<Snapshot>(Snapshot{read_stamp(), hooks_.collect()});
-    const auto work = [this, what]() -> asio::awaitable<std::optional<Fault>> { co_return write(*what); };
-    auto fault = co_await asio::co_spawn(disk_, work, asio::use_awaitable);
+    const auto work = [this, what] { return write(*what); };
+    auto fault = co_await on_disk(work, "no snapshot can be written meanwhile");
     told_write(fault);
   }
 }
@@ -134,9 +155,11 @@
     done_ = true;
     return;
   }
+  ++at_work_;
   asio::post(disk_, [this, what = Snapshot{read_stamp(), hooks_.collect()}] {
     write(what);
     const auto fault = write_ended(folder_, {name_, read_stamp()});
+    --at_work_;
     asio::post(executor_, [this, fault] {
       done_ = true;
       if (fault)
--- a/src/snapshot/keeper.h
+++ b/src/snapshot/keeper.h
@@ -3,6 +3,7 @@
 // thread of its own, started here; serving never waits for it, and a disk that hangs holds up nothing but the
 // next write.
 #pragma once
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -30,6 +31,9 @@
   // Nothing runs any more: written down once, and only by whoever owns the directory.
   void end();
   bool over() const { return ending_ && done_; }
+  // The disk has not yet done what it was asked last: this must not be destroyed now, as its thread would be
+  // waited for.
+  bool at_work() const { return at_work_ > 0; }
 
  private:
   struct Begun {
@@ -42,6 +46,9 @@
   Begun begin();
   std::optional<Fault> write(const Snapshot& snapshot);
 
+  // Counts as work until it ends, and says so in a line where that takes long.
+  template <class F>
+  auto on_disk(F work, const char* meanwhile) -> boost::asio::awaitable<decltype(work())>;
   void told(Begun begun);
   void told_ended(const Begun& begun, recovery::EarlierLife& found);
   void told_write(const std::optional<Fault>& fault);
@@ -52,7 +59,8 @@
   Hooks hooks_;
   Logger& log_;
   FolderLock lock_;  // the disk's thread alone
-  boost::asio::steady_timer again_;
+  boost::asio::steady_timer again_, slow_;
+  std::atomic<int> at_work_ = 0;
   bool owned_ = false, told_fault_ = false, told_unwritten_ = false, ending_ = false, done_ = false;
   boost::asio::thread_pool disk_{1};  // last: it ends before what it uses
 };
