--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -22,6 +22,7 @@
 #include <unordered_map>
 
 #include "deps/gatherer.h"
+#include "snapshot/snapshot.h"
 
 namespace {
 std::atomic<std::size_t> allocations = 0;
@@ -203,6 +204,67 @@
 BENCHMARK(cache_tiny_lfu)->Unit(benchmark::kMillisecond);
 BENCHMARK(cache_plain_lru)->Unit(benchmark::kMillisecond);
 
+// ---- The largest that can be learned: what the io thread does for a snapshot, and what the disk's thread
+// does ----
+Gatherer& full_gatherer() {
+  static auto gatherer = [] {
+    auto spec = std::make_shared<Spec>();
+    spec->cache_bytes = std::size_t(64) << 20;
+    GatherSpec g;
+    for (std::size_t d = 0; d < 16; ++d) {
+      DependencySpec dependency;
+      dependency.name = std::string(200, 'd') + std::to_string(d);
+      for (std::size_t e = 0; e < 64; ++e)
+        dependency.endpoints.push_back({"127.0.0.1", std::uint16_t(9000 + e)});
+      spec->dependencies.push_back(dependency);
+      PartSpec part;
+      part.name = "p" + std::to_string(d);
+      part.dependency = d;
+      part.path = "/{obj}";
+      part.fresh_for = std::chrono::hours(1);
+      g.parts.push_back(part);
+    }
+    spec->gathers.push_back(g);
+    Gatherer full(spec, options.seed);
+    const TimePoint now(std::chrono::hours(2));
+    learned::Learned what;
+    for (std::size_t n = 0; n < 100000; ++n)
+      what.parts.push_back({spec->dependencies[n % 16].name, "/" + std::to_string(n),
+                            std::make_shared<const std::string>(256, 'x'), Duration(1)});
+    for (const auto& d : spec->dependencies)
+      for (const auto& e : d.endpoints)
+        what.endpoints.push_back({d.name, e.host, e.port, std::chrono::seconds(30), 1, milliseconds(5), {}});
+    full.learn(what, now);
+    return full;
+  }();
+  return gatherer;
+}
+learned::Learned exported() {
+  learned::Learned what;
+  full_gatherer().export_to(what, TimePoint(std::chrono::hours(2)));
+  return what;
+}
+void snapshot_collect(benchmark::State& state) {
+  full_gatherer();
+  for (auto _ : state) benchmark::DoNotOptimize(exported());
+}
+void snapshot_encode(benchmark::State& state) {
+  snapshot::Snapshot s;
+  s.what = exported();
+  std::size_t bytes = 0;
+  for (auto _ : state) bytes = snapshot::encode(s).size();
+  figures["snapshot_bytes"] = bytes;
+}
+void snapshot_decode(benchmark::State& state) {
+  snapshot::Snapshot s;
+  s.what = exported();
+  const auto bytes = snapshot::encode(s);
+  for (auto _ : state) benchmark::DoNotOptimize(snapshot::decode_snapshot(bytes));
+}
+BENCHMARK(snapshot_collect)->Unit(benchmark::kMicrosecond);
+BENCHMARK(snapshot_encode)->Unit(benchmark::kMicrosecond);
+BENCHMARK(snapshot_decode)->Unit(benchmark::kMicrosecond);
+
 // ---- Quantiles: 1000 samples a second, the 99th centile asked for after each sixteenth ----
 void quantile_window(benchmark::State& state) {
   LatencyWindow window;
--- a/tests/deps_test.cpp
+++ b/tests/deps_test.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "deps_world.h"
+#include "standin/deps_world.h"
 
 namespace granitegap::deps {
 namespace {
--- a/tests/fill_test.cpp
+++ b/tests/fill_test.cpp
@@ -6,7 +6,7 @@
 #include <queue>
 #include <random>
 
-#include "deps_world.h"
+#include "standin/deps_world.h"
 
 namespace granitegap::deps {
 namespace {
