--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -66,6 +66,13 @@
   std::size_t changes_held = 0;
 };
 
+Datagram ping_of(Sender from, std::uint32_t nonce, std::string target) {
+  Datagram d;
+  d.from = std::move(from);
+  d.body = Ping{nonce, std::move(target), {}};
+  return d;
+}
+
 TEST(Membership, AFleetAgreesAndStaysCalm) {
   Fleet f(24);
   f.form();
@@ -351,11 +358,14 @@
     Told t;
     t.version = 1;
     t.beyond = Life(1);
-    member.receive({{"n0", address(0), Life(9), 1, 1},
-                    Tidings{},
-                    {{"n1", address(2), Life(2), twin, status, 0, 0, t}},
-                    0},
-                   500, now);
+    Datagram d;
+    d.from.name = "n0";
+    d.from.address = address(0);
+    d.from.life = Life(9);
+    d.from.incarnation = d.from.sent_ms = 1;
+    d.body = Tidings{};
+    d.updates.push_back({"n1", address(2), Life(2), twin, status, 0, 0, t});
+    member.receive(d, 500, now);
   }
   void pass(Duration time) {
     for (const auto end = now + time; now < end;) {
@@ -390,13 +400,9 @@
   f.form();
   f.kill(3);
   // n3's address answers again, under another name.
-  Datagram d;
-  d.from = {"n9", f.identity(9).address, f.identity(9).life, f.member(9).incarnation(), 5000};
   const auto counted = f.member(9).counters().not_mine;
-  f.inject(9, {{"n0", f.identity(0).address, f.identity(0).life, f.member(0).incarnation(), 5000},
-               Ping{1, "n3", {}},
-               {},
-               0});
+  f.inject(9, ping_of({"n0", f.identity(0).address, f.identity(0).life, f.member(0).incarnation(), 5000}, 1,
+                      "n3"));
   f.run_for(1s);
   EXPECT_EQ(f.member(9).counters().not_mine, counted + 1);
   EXPECT_TRUE(f.run_until([&] { return f.all_know(3, Status::dead); }, 6s));
@@ -405,10 +411,8 @@
 TEST(Membership, AReplayOfAnEarlierLifeChangesNothing) {
   Fleet f(10);
   f.form();
-  const Datagram old{{"n3", f.identity(3).address, f.identity(3).life, f.member(3).incarnation(), 4000},
-                     Ping{7, "n0", {}},
-                     {},
-                     0};
+  const auto old =
+      ping_of({"n3", f.identity(3).address, f.identity(3).life, f.member(3).incarnation(), 4000}, 7, "n0");
   f.kill(3);
   f.start(3);
   EXPECT_TRUE(f.run_until([&] { return f.agree(); }, 5s));
