Doors between members share one accept loop; who serves and who is relied on is asked once

Found by reading the change again. Written twice: the accept loop and its count (the learning door and the fill door, now src/net/accept.h); score, serves and can_rely of the membership's views (now public there, and the fill's owner calls them); the bytes of a kept answer (learned::bytes_of); the door's descriptors. Not needed: a copy of the dependencies for the gathers that fill. In the wrong place: the room for an age, now beside what writes it. Drawings in three headers that the formatter had run together stand again, and the comment of a test says why its bound is eight.

--- a/src/deps/fill.cpp
+++ b/src/deps/fill.cpp
@@ -9,23 +9,10 @@
 namespace granitegap::deps {
 namespace {
 
-using membership::Hearing;
-using membership::Stage;
-using membership::Status;
-
 constexpr std::string_view kFill = "/fill/";
 constexpr std::size_t kMostPath = 4096, kMostName = 253;
 constexpr Duration kMostSpan = std::chrono::hours(24 * 7);
 
-bool fills(const membership::View::Peer& p) {
-  return p.certain == Status::alive && p.present == Status::alive && p.told.fill_port != 0 &&
-         (p.told.stage == Stage::serving || p.told.stage == Stage::warming);
-}
-
-std::uint64_t score(std::uint64_t member, std::uint64_t key) {
-  return XXH3_64bits_withSeed(&member, sizeof member, key);
-}
-
 // Up to the next '/', which is taken away too.
 std::string_view cut(std::string_view& text) {
   const auto at = std::min(text.find('/'), text.size());
@@ -51,10 +38,10 @@
 
 void Owners::see(const membership::View& view) {
   own_ = view.own_hash;
-  sure_ = view.majority && !view.uncertain && view.hearing == Hearing::ok && !view.twin;
+  sure_ = membership::can_rely(view) && !view.twin;
   std::vector<Other> fresh;
   for (const auto& p : view.peers) {
-    if (!fills(p)) continue;
+    if (!membership::serves(p) || p.told.fill_port == 0) continue;
     char host[INET6_ADDRSTRLEN];
     if (!::inet_ntop(p.address.v6 ? AF_INET6 : AF_INET, p.address.ip.data(), host, sizeof host)) continue;
     Other o{{p.hash, p.life, {host, p.told.fill_port}}, {}, 0};
@@ -77,10 +64,10 @@
 std::optional<Owner> Owners::of(std::uint64_t key, TimePoint now) const {
   if (!sure_) return std::nullopt;
   const Other* best = nullptr;
-  std::uint64_t most = score(own_, key), whose = own_;
+  std::uint64_t most = membership::score(own_, key), whose = own_;
   for (const auto& o : others_) {
     if (now < o.until) continue;
-    const auto s = score(o.owner.hash, key);
+    const auto s = membership::score(o.owner.hash, key);
     if (s < most || (s == most && o.owner.hash < whose)) continue;
     best = &o, most = s, whose = o.owner.hash;
   }
--- a/src/deps/fill.h
+++ b/src/deps/fill.h
@@ -1,9 +1,9 @@
 // One member of a fleet fills a key of the parts' cache for all: who that is, and what it is asked.
 //
-// The owner of a key is the member with the highest score of rendezvous hashing (Thaler and Ravishankar 1998)
-// over those that fill for others: alive in the present and the certain view, and this one. Members of one
-// view name the same one, and where one goes only its keys move. It is passed over for a while once it did
-// not answer. Nobody is asked where the view can't be relied on: then each calls for itself.
+// The owner of a key is the member with the highest score (membership/views.h) over those that serve and fill
+// for others, and this one. Members of one view name the same one, and where one goes only its keys move. It
+// is passed over for a while once it did not answer. Nobody is asked where the view can't be relied on: then
+// each calls for itself.
 //
 // No socket, no clock. Ownership: all values. Errors: none; what can't be told is absent.
 #pragma once
@@ -64,7 +64,8 @@
 std::string target_of(const FillQuestion& question);
 std::optional<FillQuestion> read_target(std::string_view target);
 
-// The value and its age, as the body of the answer, and back.
+// The value and its age, as the body of the answer, and back; kMostFillHead: bytes more than the value's.
+inline constexpr std::size_t kMostFillHead = 24;
 std::string filled(Duration age, std::string_view body);
 struct Filled {
   Duration age{};
--- a/src/deps/gatherer.cpp
+++ b/src/deps/gatherer.cpp
@@ -106,7 +106,6 @@
   }
   auto fills = std::make_shared<Loaded>();
   auto each = std::make_shared<Spec>();
-  each->dependencies = spec->dependencies;
   fills->dependency = fresh->dependency;
   for (std::size_t d = 0; d < spec->dependencies.size(); ++d) {
     PartSpec part;
@@ -782,7 +781,7 @@
     learned::Part part{deps_[hot.dependency].spec.name, *hot.path, hot.body,
                        std::max(now - hot.stored, Duration{})};
     if (!learned::fits(part) || part.age >= kept_for(hot.dependency)) continue;
-    bytes += part.body->size() + part.path.size() + part.dependency.size();
+    bytes += learned::bytes_of(part);
     if (bytes > learned::kMostPartBytes || to.parts.size() >= learned::kMostParts) break;
     to.parts.push_back(std::move(part));
   }
--- a/src/deps/gatherer.h
+++ b/src/deps/gatherer.h
@@ -4,10 +4,11 @@
 //   begin -> for each part that needs no other:
 //     kept and fresh ............................................. settled: fresh
 //     the same call is in flight ................................. waits with it
-//     it may be kept, and another member fills it for the fleet .. that one is asked; if in vain, the rest of
-//     this failed a moment ago, dependency out or asked for quiet ..... ladder under the concurrency limit
-//     ................................ called room among those that wait .................................
-//     waits for a slot else ....................................................... ladder
+//     may be kept, and another member fills it for the fleet ..... that one is asked; in vain: as below
+//     failed a moment ago, dependency out or asked for quiet ..... ladder
+//     under the concurrency limit ................................ called
+//     room among those that wait ................................. waits for a slot
+//     else ....................................................... ladder
 //   ladder: kept and stale within its bound -> stale; declared default -> fallback; else absent.
 //   A part settles once; when all have, or a required one is absent, GatherEnded follows once, never later
 //   than the gather's budget.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -13,7 +13,6 @@
 // Before the end of the grace: the notice is heard a little after it was given.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(100);
 constexpr Duration kCourseEvery = std::chrono::milliseconds(100);
-constexpr std::size_t kFillHead = 24;                       // an age before what a member has filled
 constexpr Duration kBootsApart = std::chrono::seconds(2);   // between two words of one start
 constexpr Duration kClocksApart = std::chrono::seconds(1);  // one machine's clock, so hardly at all
 
@@ -602,8 +601,8 @@
       out_.emplace_back(
           CallBelow{start->id, *start->path,
                     start->owner ? start->owner->at : gatherer_->address(start->dependency, start->endpoint),
-                    d.name, d.most_answer + (start->owner ? kFillHead : 0), d.most_header, d.quiet_most,
-                    d.idle_most, d.most_idle});
+                    d.name, d.most_answer + (start->owner ? deps::kMostFillHead : 0), d.most_header,
+                    d.quiet_most, d.idle_most, d.most_idle});
     } else if (const auto* drop = std::get_if<deps::AbandonCall>(&action)) {
       out_.emplace_back(DropCall{drop->id});
     } else if (const auto* ended = std::get_if<deps::GatherEnded>(&action)) {
--- a/src/fill_http/door.cpp
+++ b/src/fill_http/door.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/accept.h"
+
 namespace granitegap::fill_http {
 namespace {
 
@@ -56,28 +58,17 @@
 }
 
 asio::awaitable<void> Door::serve() {
-  while (!closed_) {
-    error_code error;
-    auto socket = co_await door_.async_accept(into(error));
-    if (closed_) co_return;
-    if (error) {  // as with no descriptor left: no reason to spin
-      asio::steady_timer pause(executor_, 50ms);
-      co_await pause.async_wait(into(error));
-      continue;
-    }
-    const auto from = socket.remote_endpoint(error);
+  // In a name of its own: GCC 12 destroys a temporary in a co_await expression twice.
+  const net::Take take = [this](Tcp::socket socket, const asio::ip::address& from) {
     // Guards against a fleet whose members each keep as many as they like: they ask below themselves.
-    if (error || connections_ >= kMostConnections || !hooks_.may_ask(from.address())) continue;
-    asio::co_spawn(executor_, converse(std::move(socket)), asio::detached);
-  }
+    if (connections_ < kMostConnections && hooks_.may_ask(from))
+      asio::co_spawn(executor_, converse(std::move(socket)), asio::detached);
+  };
+  co_await net::accept_each(door_, closed_, take);
 }
 
 asio::awaitable<void> Door::converse(Tcp::socket socket) {
-  struct Counted {
-    std::size_t& n;
-    explicit Counted(std::size_t& count) : n(count) { ++n; }
-    ~Counted() { --n; }
-  } const counted(connections_);
+  const net::Counted counted(connections_);
   error_code error;
   socket.set_option(Tcp::no_delay(true), error);
   beast::tcp_stream stream(std::move(socket));
--- a/src/learned/learned.cpp
+++ b/src/learned/learned.cpp
@@ -13,6 +13,8 @@
   return p.body && p.body->size() <= kMostPartBody && !p.path.empty() && p.path.size() <= kMostPartPath;
 }
 
+std::size_t bytes_of(const Part& p) { return p.body->size() + p.path.size() + p.dependency.size(); }
+
 void bound(Learned& learned) {
   auto& e = learned.endpoints;
   if (e.size() > kMostEndpoints) {
@@ -26,8 +28,7 @@
   std::erase_if(learned.parts, [](const Part& p) { return !fits(p); });
   std::size_t bytes = 0, kept = 0;
   for (; kept < std::min(learned.parts.size(), kMostParts); ++kept) {
-    const auto& p = learned.parts[kept];
-    bytes += p.body->size() + p.path.size() + p.dependency.size();
+    bytes += bytes_of(learned.parts[kept]);
     if (bytes > kMostPartBytes) break;
   }
   learned.parts.resize(kept);
--- a/src/learned/learned.h
+++ b/src/learned/learned.h
@@ -6,10 +6,10 @@
 //
 // | piece | used for | fades |
 // | --- | --- | --- |
-// | an endpoint's ejection | not choosing it until its time is over | what is left of its time, less the age
-// | | an endpoint's latency | choosing among endpoints | as one's own does, within seconds | | members'
-// addresses | whom to call beside the seeds | dropped after a day: an address is only asked | | kept answers
-// of dependencies | parts of answers | by their age, against what each part declares |
+// | an endpoint's ejection | not choosing it until its time is over | by what is left of its time |
+// | an endpoint's latency | choosing among endpoints | as one's own does, within seconds |
+// | members' addresses | whom to call beside the seeds | dropped after a day: they are only asked |
+// | kept answers of dependencies | parts of answers | by their age, against what each part declares |
 #pragma once
 #include <cstdint>
 #include <memory>
@@ -59,6 +59,7 @@
   bool operator==(const Learned&) const = default;
 };
 
+std::size_t bytes_of(const Part& part);
 // Whether it can be among what is learned at all.
 bool fits(const Part& part);
 // Keeps to the bounds: the endpoints with most to say, members and parts as they come.
--- a/src/learning_tcp/actor.cpp
+++ b/src/learning_tcp/actor.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 
 #include "membership_udp/actor.h"
+#include "net/accept.h"
 
 namespace granitegap::learning_tcp {
 namespace {
@@ -69,19 +70,12 @@
 }
 
 asio::awaitable<void> Actor::serve() {
-  for (;;) {
-    error_code error;
-    auto socket = co_await door_.async_accept(into(error));
-    if (closed_) co_return;
-    if (error) {  // as with no descriptor left: no reason to spin
-      asio::steady_timer pause(executor_, 50ms);
-      co_await pause.async_wait(into(error));
-      continue;
-    }
-    const auto from = socket.remote_endpoint(error);
-    if (error || !hooks_.may_ask(from.address()) || !may_give()) continue;
-    asio::co_spawn(executor_, answer(std::move(socket)), asio::detached);
-  }
+  // In a name of its own: GCC 12 destroys a temporary in a co_await expression twice.
+  const net::Take take = [this](Tcp::socket socket, const asio::ip::address& from) {
+    if (hooks_.may_ask(from) && may_give())
+      asio::co_spawn(executor_, answer(std::move(socket)), asio::detached);
+  };
+  co_await net::accept_each(door_, closed_, take);
 }
 
 asio::awaitable<std::optional<std::string>> Actor::read(Tcp::socket& socket, std::size_t most) {
@@ -97,12 +91,7 @@
 }
 
 asio::awaitable<void> Actor::answer(Tcp::socket socket) {
-  // However it ends: guards against a door that an exception closes for good.
-  struct Counted {
-    std::size_t& n;
-    explicit Counted(std::size_t& count) : n(count) { ++n; }
-    ~Counted() { --n; }
-  } const counted(at_once_);
+  const net::Counted counted(at_once_);
   {
     const Deadline dawdles(socket, std::chrono::steady_clock::now() + 2 * kDawdle);
     const auto bytes = co_await read(socket, kMostQuestion);
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -9,15 +9,6 @@
 
 constexpr double kWiden = 8;  // windows' growth while all are missing
 
-std::uint64_t score(std::uint64_t member, std::uint64_t endpoint) {
-  return XXH3_64bits_withSeed(&member, sizeof member, endpoint);
-}
-
-bool serves(const View::Peer& p) {
-  return p.certain == Status::alive && p.present == Status::alive &&
-         (p.told.stage == Stage::serving || p.told.stage == Stage::warming);
-}
-
 // What the chosen prober says of it; null where that is this one, or it says nothing.
 const Finding* word_of_prober(const View& v, std::uint64_t endpoint) {
   const auto prober = prober_of(v, endpoint);
@@ -28,9 +19,18 @@
   return nullptr;
 }
 
+}  // namespace
+
 bool can_rely(const View& v) { return v.majority && !v.uncertain && v.hearing == Hearing::ok; }
 
-}  // namespace
+bool serves(const View::Peer& p) {
+  return p.certain == Status::alive && p.present == Status::alive &&
+         (p.told.stage == Stage::serving || p.told.stage == Stage::warming);
+}
+
+std::uint64_t score(std::uint64_t member, std::uint64_t key) {
+  return XXH3_64bits_withSeed(&member, sizeof member, key);
+}
 
 View view_of(const Member& member, TimePoint now) {
   View v;
--- a/src/membership/views.h
+++ b/src/membership/views.h
@@ -40,10 +40,17 @@
 // `most`. `random`: in [0, 1).
 Duration spread_backoff(Duration base, Duration most, double missing, double random);
 
-// Who probes an endpoint for all while its dependency is out: the highest score of rendezvous hashing (Thaler
-// and Ravishankar 1998) over this one and those that serve or warm up, alive in the certain and the present
-// view. Every member of one view names the same, and when one goes only what it probed moves. `endpoint`:
-// name_hash() of dependency and address.
+// Whether decisions for the whole fleet may rest on it.
+bool can_rely(const View& view);
+// Takes its part of what one does for all: alive in both pictures, and serving or warming up.
+bool serves(const View::Peer& peer);
+// Rendezvous hashing (Thaler and Ravishankar 1998): of several members the one with the highest score does
+// it.
+std::uint64_t score(std::uint64_t member, std::uint64_t key);
+
+// Who probes an endpoint for all while its dependency is out: the highest score() over this one and those
+// that serve or warm up, alive in the certain and the present view. Every member of one view names the same,
+// and when one goes only what it probed moves. `endpoint`: name_hash() of dependency and address.
 std::uint64_t prober_of(const View& view, std::uint64_t endpoint);
 // Whether this one is to probe it: as the chosen one; or because nobody who could be relied on does, as
 // without a majority, or where the chosen one does not say that it probes (it may see no outage, or have no
--- a/src/recovery/lost_memory.h
+++ b/src/recovery/lost_memory.h
@@ -6,13 +6,11 @@
 // that reached this machine later than E + W + margin is outside every window, and one that reached it
 // earlier may be inside one. E is not known; what is known bounds it from above, and the lowest bound counts:
 //   - this process's own start: whoever had the name before is over by then. It always holds, and by the
-//   steady
-//     clock alone, so that a Unix clock that jumped changes nothing;
+//     steady clock alone, so that a Unix clock that jumped changes nothing;
 //   - an orderly end that the last life wrote down last of all, by a clock that both lives share (the same
-//   boot).
-//     It says nothing once another life has begun, so whoever begins takes it away for good before it relies
-//     on it; while that fails, as on a disk that can't be written, no keyed request runs at all: a life after
-//     this one would find it still, and take it for this one's.
+//     boot). It says nothing once another life has begun, so whoever begins takes it away for good before it
+//     relies on it; while that fails, as on a disk that can't be written, no keyed request runs at all: a
+//     life after this one would find it still, and take it for this one's.
 // A snapshot from the middle of a life bounds nothing: it lived on. Nor do peers that hold the earlier life
 // dead (it may be cut off, or paused, and run on) or saw it leave (there may have been another one in between
 // that they never met). A process that is found to live under this name now raises the bound to the moment
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -57,13 +57,16 @@
   return edge;
 }
 
+std::size_t Server::sockets_for_door(const Extras& extras) {
+  return extras.declared && extras.declared->fills() ? fill_http::Door::kMostConnections : 0;
+}
+
 // Calls below, and the door where others ask, take their descriptors from the same limit, and never more than
 // half of it.
 std::size_t Server::sockets_for_peers(const config::Config& config, const Extras& extras) {
   const auto all = config.limits.sockets;
   if (!extras.declared) return all;
-  const auto door = extras.declared->fills() ? fill_http::Door::kMostConnections : 0;
-  return all - std::min(extras.declared->connections + door, all / 2);
+  return all - std::min(extras.declared->connections + sockets_for_door(extras), all / 2);
 }
 
 Server::Server(asio::io_context& context, config::Config config, Extras extras,
@@ -98,9 +101,8 @@
   if (const auto& r = extras_.declared->recovery; r && !r->folder.empty()) keep_learned(*r);
   if (const auto& r = extras_.declared->recovery; r && r->guided && fleet_) learn_from_others();
   // Ends of calls always find room: the limits on open calls bound their number.
-  const auto door = fill_door_ ? fill_http::Door::kMostConnections : 0;
   const auto apart = config_.limits.sockets - sockets_for_peers(config_, extras_);
-  caller_.emplace(context.get_executor(), apart - std::min(door, apart / 2),
+  caller_.emplace(context.get_executor(), apart - std::min(sockets_for_door(extras_), apart / 2),
                   [this](deps::CallReport report) { module_.mailbox().post_control(std::move(report)); });
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -65,6 +65,7 @@
   void keep_learned(const operators::Declared::Recovery& recovery);
 
   static edge::Edge make_edge(const config::Config& config, const Extras& extras, TimePoint started);
+  static std::size_t sockets_for_door(const Extras& extras);
   static std::size_t sockets_for_peers(const config::Config& config, const Extras& extras);
 
   boost::asio::io_context& context_;
--- a/src/snapshot/snapshot.cpp
+++ b/src/snapshot/snapshot.cpp
@@ -95,7 +95,7 @@
   for (const auto& from : p.parts()) {
     learned::Part part{from.dependency(), from.path(), std::make_shared<const std::string>(from.body()),
                        Duration(from.age_us())};
-    together += from.body().size() + from.path().size() + from.dependency().size();
+    together += learned::bytes_of(part);
     if (part.dependency.size() > kMostText || !learned::fits(part) || !plausible(from.age_us()) ||
         together > learned::kMostPartBytes)
       return bad;
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -678,8 +678,9 @@
   EXPECT_TRUE(f.all_in_service()) << f.state();
 }
 
-// A service that can do just so much, when all come back at once and want it: no more calls are open there
-// than the fleet was given, and everybody is answered.
+// A service that can do just so much, when all come back at once and want it: everybody is answered, and few
+// calls are open there. While a member sees only one other its share is half of the fleet's four, so that
+// four of them may have eight; each for itself would have all of its eight callers' open.
 TEST(Return, AServiceAtItsLimitIsNotFallenUpon) {
   Service service(2);
   auto o = over(service, "fleet_open: 4", 4);
--- a/tests/fill_test.cpp
+++ b/tests/fill_test.cpp
@@ -133,6 +133,12 @@
     EXPECT_FALSE(read_filled(bad)) << bad;
 }
 
+std::string path_of(std::uint64_t obj) {
+  char path[32];
+  std::snprintf(path, sizeof path, "/e/%016llx", static_cast<unsigned long long>(obj));
+  return path;
+}
+
 // Gatherers of several members, and one dependency below them all.
 class Members {
  public:
@@ -172,11 +178,9 @@
   }
   // The member that fills it.
   std::size_t owner(std::uint64_t obj) {
-    char path[32];
-    std::snprintf(path, sizeof path, "/e/%016llx", static_cast<unsigned long long>(obj));
     Owners o;
     o.see(view_for(0, all_.size()));
-    const auto who = o.of(fill_key("elevation.example.org", path), now);
+    const auto who = o.of(fill_key("elevation.example.org", path_of(obj)), now);
     for (std::size_t n = 1; who && n < all_.size(); ++n)
       if (member(n).hash == who->hash) return n;
     return 0;
@@ -389,9 +393,7 @@
     odd.peers = {third};
     Owners o;
     o.see(odd);
-    char path[32];
-    std::snprintf(path, sizeof path, "/e/%016llx", static_cast<unsigned long long>(key));
-    if (o.of(fill_key("elevation.example.org", path), {})) break;
+    if (o.of(fill_key("elevation.example.org", path_of(key)), {})) break;
   }
   m.at(owner).fleet(std::make_shared<View>(odd), m.now);
   m.ask(0, key);
