A run that wants a call below fails alone: the kernel link no longer breaks on its line

Cause: Link::read ends the link on a line it can't read (link.cpp), and as notices after the last one read are told again, every later link breaks on the same line. Change: the line is read as what the bytes show, a numbered notice for a request, with bytes after it; its request is failed at once, the module is told, the run's end comes as for any request that is over. Told once in the log.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -318,6 +318,9 @@
   drain_from_ = now_.unix;
   good_ = false;
   report_health();
+  // What the checks under way ask is answered now: the kernel's word may come late, or never.
+  for (const auto& [tag, to] : std::exchange(deep_checks_, {}))
+    out_.emplace_back(HealthAnswer{to, false, hint_});
   if (module_) events_.emplace_back(DrainNotice{drain.until_stopped});
 }
 
@@ -363,6 +366,22 @@
   o.work = settings_.settings.suspend == SuspendKind::pause ? Work::paused : Work::held;
 }
 
+// The kernel's protocol names no way to make a call for a run: the request is given up at once, and the kernel
+// ends the run of a request that is over.
+void Edge::on(const CallWanted& wanted) {
+  const auto it = by_rid_.find(wanted.rid);
+  if (it == by_rid_.end()) return;
+  const auto id = it->second;
+  auto& o = open_.at(id);
+  if (o.work != Work::running) return;
+  if (!std::exchange(told_of_calls_, true))
+    remark("kernel wants a call below for request " + wanted.rid + ": not known here, such requests fail",
+           "call_wanted", wanted.rid);
+  events_.emplace_back(CallNeeded{id});
+  answer(o, Outcome::failed);
+  abandon(id, o);
+}
+
 // A command the kernel would not carry out must not strand its request: the run is over, with an error.
 void Edge::on(const CommandRejected& rejected) {
   remark("kernel rejected a command for request " + rejected.rid, "kernel_rejected", rejected.rid);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -88,6 +88,7 @@
   void on(const Drain& drain);
   void on(const Booted& booted);
   void on(RunReport report);
+  void on(const CallWanted& wanted);
   void on(const CommandRejected& rejected);
   void on(const Gauges& gauges);
   void on(const DeepCheckDone& done);
@@ -184,7 +185,7 @@
   std::uint64_t batch_ = 0, timer_order_ = 0, next_check_ = 1;
   std::uint32_t next_id_ = 1;
   std::size_t unanswered_ = 0;
-  bool from_store_ = false, good_ = true, closing_ = false;
+  bool from_store_ = false, good_ = true, closing_ = false, told_of_calls_ = false;
 };
 
 }  // namespace granitegap::edge
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -161,6 +161,9 @@
   Duration took{};
   std::string result;
 };
+struct CallWanted {  // the run stands until a call below is made for it
+  std::string rid;
+};
 enum class CommandKind : std::uint8_t { start, resume, stop, other };
 struct CommandRejected {
   CommandKind kind{};
@@ -190,7 +193,7 @@
 
 using Input =
     std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
-                 CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews,
+                 CallWanted, CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews,
                  EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
 
 struct AskOthers {};  // what they know: the memory of this process is blank, or old
--- a/src/kernel/lines.cpp
+++ b/src/kernel/lines.cpp
@@ -79,7 +79,8 @@
   if (waits_) {
     if (left.size() < result_bytes_ + kLineEnd.size()) return std::nullopt;
     if (left.substr(result_bytes_, kLineEnd.size()) != kLineEnd) return fail("result without a line end");
-    std::get<edge::RunReport>(waits_->what).result = left.substr(0, result_bytes_);
+    if (auto* report = std::get_if<edge::RunReport>(&waits_->what))
+      report->result = left.substr(0, result_bytes_);
     at_ += result_bytes_ + kLineEnd.size();
     return std::exchange(waits_, std::nullopt);
   }
@@ -90,7 +91,9 @@
   at_ += end + kLineEnd.size();
   auto notice = decode(line);
   if (const auto* bad = std::get_if<BadLine>(&notice.what)) return fail(bad->why);
-  if (!std::holds_alternative<edge::RunReport>(notice.what)) return notice;
+  if (!std::holds_alternative<edge::RunReport>(notice.what) &&
+      !std::holds_alternative<edge::CallWanted>(notice.what))
+    return notice;
   waits_ = std::move(notice);
   return next();
 }
@@ -110,6 +113,15 @@
     return {*number, edge::RunReport{std::string(words[2]), *end, Duration(std::llround(*took * 1000)),
                                      std::string{}}};
   }
+  // Named by no page, but sent where settings name something below. Guards against a link that breaks on it,
+  // and on each link after that, as notices are told again.
+  if (verb == "IOREQ" && words.size() == 4) {
+    const auto number = to_number<std::uint64_t>(words[1]);
+    const auto length = to_number<std::size_t>(words[3]);
+    if (!number || !length || *length > kMaxResult) return bad();
+    result_bytes_ = *length;
+    return {*number, edge::CallWanted{std::string(words[2])}};
+  }
   if (verb == "INFO" && words.size() >= 2) {
     Info info{std::string(words[1]), {}};
     for (const auto word : std::span(words).subspan(2)) {
--- a/src/kernel/lines.h
+++ b/src/kernel/lines.h
@@ -20,8 +20,8 @@
 };
 struct Notice {
   std::uint64_t number = 0;  // 0: not numbered
-  std::variant<edge::Booted, edge::RunReport, edge::CommandRejected, Info, edge::DeepCheckDone, Remark,
-               BadLine>
+  std::variant<edge::Booted, edge::RunReport, edge::CallWanted, edge::CommandRejected, Info,
+               edge::DeepCheckDone, Remark, BadLine>
       what;
 };
 
@@ -34,7 +34,7 @@
   Notice decode(std::string_view line);
   std::string buffer_;
   std::size_t at_ = 0;
-  std::optional<Notice> waits_;  // a run's report whose result has not all come
+  std::optional<Notice> waits_;  // one whose bytes after the line have not all come
   std::size_t result_bytes_ = 0;
   bool broken_ = false;
 };
--- a/src/kernel/link.cpp
+++ b/src/kernel/link.cpp
@@ -40,6 +40,7 @@
 bool Ledger::belongs(const Notice& notice) const {
   if (booted_ && notice.number == last_ + 1) return true;
   if (const auto* report = std::get_if<edge::RunReport>(&notice.what)) return runs_.contains(report->rid);
+  if (const auto* wanted = std::get_if<edge::CallWanted>(&notice.what)) return runs_.contains(wanted->rid);
   return false;
 }
 
@@ -203,6 +204,8 @@
     }
     asked_gauges_ = false;
     co_await hand_in(std::move(info->gauges));
+  } else if (auto* wanted = std::get_if<edge::CallWanted>(&notice.what)) {
+    co_await hand_in(std::move(*wanted));
   } else if (auto* rejected = std::get_if<edge::CommandRejected>(&notice.what)) {
     co_await hand_in(std::move(*rejected));
   } else if (auto* done = std::get_if<edge::DeepCheckDone>(&notice.what)) {
