A cold server offers all its callers together no more than its cores take

Need: a cold server falls by the sum of what all callers send; beyond its budget N only 2 root N + 2 count as chance, with 20 or 30 processes too, those not heard of yet included. Change: while it is cold the credit is at most the crowd its cores take now, over the callers told or heard of, whichever are more. Once warm all is as before.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -369,6 +369,9 @@
     if (s.free_number.value_or(FreeNumber::none) != FreeNumber::credit) return;
     double credit = pool / active_callers();
     if (worst_ratio <= 1) credit = std::max(credit, 1.0);
+    // All callers together, those that have not come yet too: guards against a cold server that falls by the
+    // sum of what each was offered.
+    if (warmth() < 1) credit = std::min(credit, crowd() / std::max(told_callers, active_callers()));
     credit = takes_work() ? credit * offered : 0;
     if (said >= 0 && std::abs(credit - said) < 0.02 * said) return;
     said = credit;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cmath>
 #include <limits>
+#include <map>
+#include <random>
 
 #include "fake_host.h"
 
@@ -297,6 +299,60 @@
   EXPECT_GT(runs(cores - 1), cores);
   EXPECT_EQ(runs(cores), cores);
 }
+// What every caller was told last and still heeds, those told by a check alone included, against what the cores
+// take now: a sum that no single answer shows. Callers that the settings did not count come as well.
+void offer_stays_within_budget(std::uint32_t told, unsigned seed) {
+  auto s = roomy();
+  s.cold = true;
+  s.cold_from = 0.2;
+  s.warm_up = seconds(18);
+  s.cores = 6;
+  s.callers = told;
+  std::mt19937 random(seed);
+  Instance i(s);
+  std::map<std::uint32_t, std::pair<Duration, double>> heard;
+  std::vector<RequestId> running;
+  std::uint32_t next = 0;
+  const auto all = told + told / 2;
+  for (Duration t{}; t < seconds(18); t += milliseconds(20)) {
+    std::vector<Event> events{TimerFired{TimerToken{0}, double(random() % 100) / 100, {}, {}, {}}};
+    std::vector<std::uint32_t> answered{std::uint32_t(random() % all)};  // one that only checks
+    for (auto k = random() % 4; k > 0; --k) {
+      auto r = request(++next);
+      r.caller = CallerId(random() % all);
+      answered.push_back(std::uint32_t(r.caller));
+      events.emplace_back(r);
+    }
+    if (!running.empty() && random() % 3 == 0) {
+      events.emplace_back(RunEnded{running.front(), RunResult::ok, milliseconds(300)});
+      running.erase(running.begin());
+    }
+    for (const auto& run : Instance::only<Run>(i.at(t, events))) running.push_back(run.id);
+    for (const auto who : answered) heard[who] = {t, i.credit};
+    const double budget = 6 * (1 + 7 * (0.2 + 0.8 * double(t.count()) / 18e6));
+    double offered = 0;
+    for (const auto& [who, last] : heard)
+      if (t - last.first <= seconds(1)) offered += last.second;
+    ASSERT_LE(i.credit * told, 1.03 * budget) << told << " callers, seed " << seed << ", at " << t.count();
+    ASSERT_LE(offered, budget + 2 * std::sqrt(budget) + 2) << told << " callers, seed " << seed;
+  }
+  EXPECT_GT(next, 500u);
+}
+TEST(ColdStart, OffersAllCallersTogetherNoMoreThanItsCoresTake) {
+  for (const std::uint32_t told : {3u, 20u, 30u, 150u})
+    for (unsigned seed = 1; seed <= 5; ++seed) offer_stays_within_budget(told, seed);
+}
+TEST(ColdStart, OnceWarmTheOfferIsThePoolsAgain) {
+  auto s = roomy();
+  s.cold = true;
+  s.warm_up = seconds(1);
+  s.callers = 150;
+  Instance i(s);
+  i.at(milliseconds(1), {request(1)});
+  EXPECT_LT(i.credit, 0.2);
+  i.idle(milliseconds(20), milliseconds(1100), 0.5);
+  EXPECT_GE(i.credit, 1);
+}
 TEST(Hosts, MisuseChangesNothing) {
   Instance i(roomy());
   EXPECT_TRUE(i.at(seconds(5), {RunEnded{RequestId(9), RunResult::ok, {}},
