--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -366,8 +366,8 @@
   o.work = settings_.settings.suspend == SuspendKind::pause ? Work::paused : Work::held;
 }
 
-// The kernel's protocol names no way to make a call for a run: the request is given up at once, and the kernel
-// ends the run of a request that is over.
+// The kernel's protocol names no way to make a call for a run: the request is given up at once, and the
+// kernel ends the run of a request that is over.
 void Edge::on(const CallWanted& wanted) {
   const auto it = by_rid_.find(wanted.rid);
   if (it == by_rid_.end()) return;
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -193,8 +193,8 @@
 
 using Input =
     std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
-                 CallWanted, CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration, FleetNews,
-                 EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
+                 CallWanted, CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration,
+                 FleetNews, EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
 
 struct AskOthers {};  // what they know: the memory of this process is blank, or old
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -85,12 +85,13 @@
   }
   try {
     boost::asio::io_context context(1);
-    Server server(context, std::move(config), std::move(extras));
+    // Before the door opens: guards against a notice that kills what already has connections in its backlog.
     boost::asio::signal_set notice(context, SIGTERM, SIGINT);
+    boost::asio::signal_set fresh_config(context, SIGHUP);
+    Server server(context, std::move(config), std::move(extras));
     notice.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) server.drain();
     });
-    boost::asio::signal_set fresh_config(context, SIGHUP);
     std::function<void(const boost::system::error_code&, int)> reload = [&](const auto& error, int) {
       if (error) return;
       fresh_config.async_wait(reload);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kOwnDescriptors = 32;  // standard streams, kernel, announce, the loop's own
 constexpr auto kAcceptRetry = 10ms;
 constexpr auto kLook = 100ms;
-constexpr auto kFresh = 100ms;  // younger connections may just not have been heard yet
+constexpr auto kFresh = 100ms;  // since its last use: it may not have been heard, or not have read, yet
 
 }  // namespace
 
@@ -77,15 +77,19 @@
   asio::co_spawn(
       executor_, [peer]() -> asio::awaitable<void> { co_await peer->run(); },
       [this, id](const std::exception_ptr&) { peers_.erase(id); });
-  if (door_closed_) peer->deliver(GoAway{});
 }
 
 // One connection less, or on its way out: first one whose work is over, then one that never spoke, then the
-// one idle for longest.
+// one idle for longest; one with a message or a check on its way only where there is no other. Never one that
+// was used a moment ago, whose client may still be reading its answer, nor one in whose socket bytes lie
+// unread, as these may be a request.
 bool Listener::make_room() {
-  const auto heard_by = Peer::Clock::now() - kFresh;
+  const auto settled_by = Peer::Clock::now() - kFresh;
   const auto rank = [&](const Peer& p) {
-    return p.lingering() ? 3 : !p.idle() ? 0 : p.spoke() ? 1 : p.born() < heard_by ? 2 : 0;
+    if (p.last_used() >= settled_by) return 0;
+    if (p.lingering()) return 4;
+    if (!p.idle() || p.unread()) return 0;
+    return p.in_message() || p.awaits_check() ? 1 : p.spoke() ? 2 : 3;
   };
   std::shared_ptr<Peer> spare;
   int best = 0;
@@ -112,23 +116,31 @@
 void Listener::close_idle(Duration idle_for) {
   const auto before = Peer::Clock::now() - idle_for;
   for (const auto& [id, peer] : peers_)
-    if (peer->idle() && peer->last_used() < before) peer->close();
+    if (peer->idle() && peer->heard_out() && peer->last_used() < before) peer->close();
 }
 
 void Listener::close_door() {
-  if (std::exchange(door_closed_, true)) return;
-  for (const auto& [id, peer] : peers_) peer->deliver(GoAway{});
+  if (door_closed_) return;
+  // Closing with connections in the backlog would reset them, requests and all. Before the peers are told, as
+  // one that is being told is in use, and makes no room for those that wait.
   error_code error;
-  while (!error) {  // closing with connections in the backlog would reset them, requests and all
+  while (!error) {
     tcp::socket socket(executor_);
     acceptor_.accept(socket, error);
     if (!error) admit(std::move(socket));
   }
+  door_closed_ = true;
   acceptor_.close(error);
+  for (const auto& [id, peer] : peers_) peer->deliver(GoAway{});
 }
 
 bool Listener::at_rest() const {
-  return std::all_of(peers_.begin(), peers_.end(), [](const auto& p) { return p.second->idle(); });
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [](const auto& p) { return p.second->idle() && p.second->heard_out(); });
+}
+
+void Listener::close_all() {
+  for (const auto& [id, peer] : peers_) peer->close();
 }
 
 }  // namespace granitegap::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -23,7 +23,10 @@
   void close_idle(Duration idle_for);
   // Nothing new comes in any more: what waits in the backlog is taken, the door closed, every peer told.
   void close_door();
+  // No answer is owed or on its way out, and nothing has come that was not heard yet.
   bool at_rest() const;
+  // Ends every connection, none by a reset.
+  void close_all();
 
  private:
   void start_peer(boost::asio::ip::tcp::socket socket);
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -19,10 +19,9 @@
 constexpr auto kStuckAfter = std::chrono::seconds(30);
 constexpr auto kLinger = std::chrono::seconds(3);
 constexpr std::size_t kDiscard = 1 << 20;  // in one turn of the loop
+constexpr int kDiscardTurns = 16;          // at a close; one that sends faster than that is reset
 // Well inside the 3 s in which a client that says nothing is due its close.
 constexpr auto kFirstMessage = std::chrono::milliseconds(1500);
-constexpr auto kUnreadGrace =
-    std::chrono::milliseconds(500);  // where bytes lie unread: this process was slow
 constexpr auto kWholeMessage = std::chrono::milliseconds(2500);
 constexpr int kBadInARow = int(frames::kMaxOpen);
 
@@ -67,6 +66,7 @@
 
 void Peer::close() {
   error_code ignored;
+  if (socket_.is_open()) discard_unread();
   socket_.close(ignored);
   outbox_.close();
   room_.cancel();
@@ -75,13 +75,16 @@
 void Peer::mind(Clock::time_point now) {
   if (!socket_.is_open()) return;
   if (unsent_ > 0 && now - sending_since_ > kStuckAfter) return close();
-  if (finishing_ || crowded()) return;
-  error_code ignored;
-  const bool unread = socket_.available(ignored) > 0;
-  const bool silent = !spoke_ && now - born_ > (unread ? kFirstMessage + kUnreadGrace : kFirstMessage);
-  const bool endless = spoke_ && reader_.in_frame() && now - heard_ > kWholeMessage;
+  // What lies unread is read first: guards against a process that stood still, or was starved, and ends
+  // connections whose messages came in time.
+  if (finishing_ || crowded() || unread()) return;
+  const bool half = reader_.in_frame();
+  const bool silent = !spoke_ && !half && now - born_ > kFirstMessage;
+  // A first message on a slow link is given as long as any other, from the connection's start.
+  const bool endless = half && now - (spoke_ ? heard_ : born_) > kWholeMessage;
   if (!silent && !endless) return;
-  fault(reader_.in_frame() ? "no end of a message" : "no message");
+  fault(half ? "no end of a message" : "no message");
+  error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_receive, ignored);  // wakes the reader
 }
 
@@ -95,6 +98,17 @@
   if (idle()) outbox_.close();
 }
 
+bool Peer::unread() const {
+  error_code ignored;
+  return socket_.is_open() && socket_.available(ignored) > 0;
+}
+
+// Closing over unread bytes sends a reset, which takes from the other side answers that it has not read yet.
+void Peer::discard_unread() {
+  for (int turns = 0; turns < kDiscardTurns; ++turns)
+    if (::recv(socket_.native_handle(), nullptr, kDiscard, MSG_TRUNC | MSG_DONTWAIT) <= 0) return;
+}
+
 bool Peer::crowded() const { return unsent_ > kCrowdedBytes || outbox_.size() > kCrowdedOutgoing; }
 
 // A peer that does not read is not read from: its answers wait here, within bounds, and stall no one else.
@@ -159,6 +173,7 @@
                    return true;
                  },
                  [&](edge::HealthCheck& check) {
+                   ++checks_;
                    if (!module_.post(check)) deliver(edge::HealthAnswer{check.from, false, hint_});
                    return true;
                  },
@@ -207,7 +222,10 @@
                               // The one answer of that stream: a second would find it closed.
                               if (open_.erase(a.to.stream)) frames::encode(a, bytes);
                             },
-                            [&](const edge::HealthAnswer& a) { frames::encode(a, bytes); },
+                            [&](const edge::HealthAnswer& a) {
+                              if (checks_ > 0) --checks_;
+                              frames::encode(a, bytes);
+                            },
                             [&](const StreamError& e) { frames::encode_error(e.why, bytes); },
                             [&](const GoAway&) { frames::encode_goaway(bytes); }},
                  message);
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -40,8 +40,14 @@
   bool is_open() const { return socket_.is_open(); }
   bool spoke() const { return spoke_; }
   bool lingering() const { return lingering_; }
+  bool in_message() const { return reader_.in_frame(); }  // part of one has come
+  bool unread() const;                                    // bytes lie in the socket
   Clock::time_point born() const { return born_; }
+  // No answer is owed and none is on its way out.
   bool idle() const { return open_.empty() && outbox_.empty() && unsent_ == 0; }
+  bool awaits_check() const { return checks_ > 0; }
+  // Nothing has come that was not heard yet, be it a part of a message: closing it cuts no one off.
+  bool heard_out() const { return lingering_ || (!reader_.in_frame() && !unread()); }
   Clock::time_point last_used() const { return last_used_; }
 
  private:
@@ -54,6 +60,7 @@
   bool fault(std::string why);
   void turn_away(std::uint32_t stream);
   bool crowded() const;
+  void discard_unread();
   void finish();
 
   boost::asio::ip::tcp::socket socket_;
@@ -65,6 +72,7 @@
   Mailbox<Outgoing> outbox_;
   boost::asio::steady_timer room_;
   std::set<std::uint32_t> open_;  // streams that wait for an answer
+  std::size_t checks_ = 0;        // health checks that wait for theirs
   std::size_t unsent_ = 0;        // bytes handed to the socket and not taken yet
   bool finishing_ = false;        // nothing more is read; what is open is answered first
   bool spoke_ = false;            // a whole message came, be it a bad one
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -392,6 +392,7 @@
   if (caller_) caller_->close_all();
   if (learning_) learning_->close();
   if (fill_door_) fill_door_->close();
+  listener_.close_all();
   context_.stop();
 }
 
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,137 @@
+// What is still owed in the instant in which something ends, between real processes: each crossing is forced
+// by stopping the process (SIGSTOP), by halves of a message, or by two signals at once. Answers and the runs
+// that the kernel counts decide, never times.
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <csignal>
+#include <list>
+#include <thread>
+
+#include "fleet/runner.h"
+#include "standin/caller.h"
+
+namespace granitegap::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::udp;
+using standin::Asked;
+using standin::Caller;
+
+constexpr auto kLong = 60s;
+const Asked kTile{"tile", "x", {}, {}, 20};
+
+Options options() {
+  Options o;
+  o.program = PROGRAM;
+  o.size = 1;
+  o.in_fleet = o.declared = false;  // as on the platform
+  return o;
+}
+
+struct Trial : Fleet {
+  explicit Trial(Options o = options()) : Fleet(std::move(o)) {}
+  void up() {
+    start("n0");
+    ASSERT_TRUE(until([&] { return port("n0") != 0 && served(Caller(port("n0")).ask(kTile)); }, kLong))
+        << log("n0");
+  }
+  static bool served(const std::optional<standin::Answered>& a) { return a && a->code == 0; }
+  void signal(int number) { ::kill(pid("n0"), number); }
+  bool says(const std::string& line) { return log("n0").find(line) != std::string::npos; }
+  void left_in_order() {
+    ASSERT_TRUE(until([&] { return ended("n0"); }, kLong)) << log("n0");
+    EXPECT_EQ(status("n0"), 0);
+    EXPECT_TRUE(says("left: all answered")) << log("n0");
+  }
+};
+
+TEST(Crossing, ANoticeBetweenTheAcceptAndTheFirstByteLeavesTheAnswerOwed) {
+  Trial f;
+  f.up();
+  Caller c(f.port("n0"));
+  f.signal(SIGTERM);
+  ASSERT_TRUE(f.until([&] { return f.says("notice to leave"); }, kLong));
+  EXPECT_TRUE(c.ask(kTile)) << f.log("n0");
+  f.left_in_order();
+}
+
+TEST(Crossing, ARequestInTheBacklogAtTheNoticeIsAnswered) {
+  Trial f;
+  f.up();
+  f.pause("n0");
+  Caller c(f.port("n0"));
+  c.tell(kTile);
+  f.signal(SIGTERM);
+  f.resume("n0");
+  EXPECT_TRUE(c.hear()) << f.log("n0");
+  f.left_in_order();
+}
+
+TEST(Crossing, HalfALineAtTheNoticeAndTheRestAfterItIsOneRequest) {
+  Trial f;
+  f.up();
+  Caller c(f.port("n0"));
+  c.tell_begin(kTile, 20);
+  f.signal(SIGTERM);
+  ASSERT_TRUE(f.until([&] { return f.says("notice to leave"); }, kLong));
+  c.tell_rest();
+  EXPECT_TRUE(c.hear()) << f.log("n0");
+  f.left_in_order();
+}
+
+TEST(Crossing, ANoticeDirectlyAfterAReloadEndsInOrderWithWhatRuns) {
+  auto o = options();
+  o.run_cost = 300ms;
+  Trial f(o);
+  f.up();
+  Caller c(f.port("n0"));
+  c.tell({"trail-report", "report", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", {}, 300});
+  ASSERT_TRUE(f.until([&] { return f.runs("n0").contains({"trail-report", "report"}); }, kLong));
+  f.pause("n0");  // so that both wait for it together
+  f.signal(SIGHUP);
+  f.signal(SIGTERM);
+  f.resume("n0");
+  EXPECT_TRUE(Trial::served(c.hear())) << f.log("n0");
+  f.left_in_order();
+  EXPECT_EQ((f.runs("n0").at({"trail-report", "report"})), 1);
+}
+
+// A notice in the first instants: whatever has been built by then, it is heeded and nothing is cut off.
+TEST(Crossing, ANoticeAsSoonAsTheDoorIsOpenIsHeeded) {
+  Trial f;
+  f.start("n0");
+  ASSERT_TRUE(f.until([&] { return f.says("listening on"); }, kLong));
+  f.signal(SIGTERM);
+  f.left_in_order();
+}
+
+TEST(Crossing, IdleClientsFillTheDescriptorsWhileTheListIsAway) {
+  boost::asio::io_context io;
+  udp::socket list(io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const auto at = list.local_endpoint();
+  list.close();
+  auto o = options();
+  o.sockets = 64;
+  o.list_port = at.port();
+  Trial f(o);
+  f.up();
+  std::list<Caller> idle;
+  for (int i = 0; i < 100; ++i) idle.emplace_back(f.port("n0")).check();
+  EXPECT_TRUE(f.until([&] { return Trial::served(Caller(f.port("n0")).ask(kTile)); }, kLong)) << f.log("n0");
+  // The list is back, late: it hears that this one serves, though all descriptors are taken.
+  list.open(udp::v4());
+  list.bind(at);
+  char report[64];
+  const auto size = list.receive(boost::asio::buffer(report));
+  EXPECT_EQ(std::string(report, size), "announce n0 true");
+  f.signal(SIGTERM);
+  std::string last;
+  while (last != "announce n0 false") last.assign(report, list.receive(boost::asio::buffer(report)));
+  f.left_in_order();
+}
+
+}  // namespace
+}  // namespace granitegap::fleet
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -299,8 +299,8 @@
   EXPECT_GT(runs(cores - 1), cores);
   EXPECT_EQ(runs(cores), cores);
 }
-// What every caller was told last and still heeds, those told by a check alone included, against what the cores
-// take now: a sum that no single answer shows. Callers that the settings did not count come as well.
+// What every caller was told last and still heeds, those told by a check alone included, against what the
+// cores take now: a sum that no single answer shows. Callers that the settings did not count come as well.
 void offer_stays_within_budget(std::uint32_t told, unsigned seed) {
   auto s = roomy();
   s.cold = true;
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -28,7 +28,7 @@
 
 constexpr char kPlatform[] = R"json({"name":"@NAME","listen":"127.0.0.1:0","kernel":"127.0.0.1:@KERNEL",
  "announce":"127.0.0.1:@LIST","seed":"@SEED","stop_ms":3200,
- "limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":@SOCKETS},
  "settings":{"classes":[
    {"name":"tile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.2,"worth":1.0},
    {"name":"route-profile","aim_ms":1900.0,"deadline_ms":4900.0,"effect":"retryable","late_worth":0.0,"worth":2.0},
@@ -181,7 +181,9 @@
   const auto number = processes_.size();
   auto platform = with(kPlatform, "@NAME", p.name);
   platform = with(platform, "@KERNEL", std::to_string(p.kernel->port()));
-  platform = with(platform, "@LIST", std::to_string(list_.local_endpoint().port()));
+  platform = with(platform, "@LIST",
+                  std::to_string(options_.list_port ? options_.list_port : list_.local_endpoint().port()));
+  platform = with(platform, "@SOCKETS", std::to_string(options_.sockets));
   platform = with(platform, "@COLD", std::to_string(options_.cold_ms));
   platform = with(platform, "@BACKOFF", std::to_string(options_.max_backoff_ms));
   platform = with(platform, "@CORES", std::to_string(options_.cores));
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -47,6 +47,8 @@
   int cores = 2;           // of each stand-in kernel
   double cold_ms = 18000;  // the platform's word for how long a machine warms up
   double max_backoff_ms = 1000;
+  std::size_t sockets = 256;    // descriptors of each process
+  std::uint16_t list_port = 0;  // where reports to the list go; 0: a port that nobody reads
 };
 
 class Fleet {
--- a/tools/standin/caller.cpp
+++ b/tools/standin/caller.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <random>
+#include <utility>
 
 namespace granitegap::standin {
 namespace {
@@ -86,11 +87,27 @@
   socket_.set_option(tcp::no_delay(true));
 }
 
-void Caller::tell(const Asked& asked) {
+std::string Caller::next_frame(const Asked& asked) {
   using namespace std::chrono;
   const auto t0 = duration_cast<milliseconds>(system_clock::now().time_since_epoch()) - asked.written_late;
+  return request_frame(asked, ++stream_, number_, new_rid(), t0.count());
+}
+
+void Caller::tell(const Asked& asked) {
   boost::system::error_code error;
-  asio::write(socket_, asio::buffer(request_frame(asked, ++stream_, number_, new_rid(), t0.count())), error);
+  asio::write(socket_, asio::buffer(next_frame(asked)), error);
+}
+
+void Caller::tell_begin(const Asked& asked, std::size_t bytes) {
+  rest_ = next_frame(asked);
+  boost::system::error_code error;
+  asio::write(socket_, asio::buffer(rest_, bytes), error);
+  rest_.erase(0, bytes);
+}
+
+void Caller::tell_rest() {
+  boost::system::error_code error;
+  asio::write(socket_, asio::buffer(std::exchange(rest_, {})), error);
 }
 
 bool Caller::read(std::string& to, std::size_t bytes, Clock::time_point until) {
@@ -108,15 +125,35 @@
   return false;
 }
 
-std::optional<Answered> Caller::ask(const Asked& asked, std::chrono::milliseconds most) {
-  tell(asked);
+std::optional<std::string> Caller::read_payload(Clock::time_point until) {
+  std::string head, payload;
+  if (!read(head, 4, until) || !read(payload, std::size_t(number(head, 0, 4)), until)) return std::nullopt;
+  return payload;
+}
+
+std::optional<Answered> Caller::hear(std::chrono::milliseconds most) {
   const auto until = Clock::now() + most;
-  for (;;) {
-    std::string head, payload;
-    if (!read(head, 4, until) || !read(payload, std::size_t(number(head, 0, 4)), until)) return std::nullopt;
+  while (const auto payload = read_payload(until)) {
     std::uint32_t stream = 0;
-    if (auto answer = read_answer(payload, stream); answer && stream == stream_) return answer;
+    if (auto answer = read_answer(*payload, stream); answer && stream == stream_) return answer;
   }
+  return std::nullopt;
+}
+
+std::optional<bool> Caller::check(std::chrono::milliseconds most) {
+  const auto payload = big(6, 1) + big(++stream_, 4) + big(0, 1);
+  boost::system::error_code error;
+  asio::write(socket_, asio::buffer(big(payload.size(), 4) + payload), error);
+  const auto until = Clock::now() + most;
+  while (const auto answer = read_payload(until))
+    if (answer->size() >= 6 && (*answer)[0] == 7 && number(*answer, 1, 4) == stream_)
+      return (*answer)[5] == 0;
+  return std::nullopt;
+}
+
+std::optional<Answered> Caller::ask(const Asked& asked, std::chrono::milliseconds most) {
+  tell(asked);
+  return hear(most);
 }
 
 }  // namespace granitegap::standin
--- a/tools/standin/caller.h
+++ b/tools/standin/caller.h
@@ -27,11 +27,20 @@
   explicit Caller(std::uint16_t port, int number = 1);
   // Absent where the connection ended, or nothing came within `most`.
   std::optional<Answered> ask(const Asked& asked, std::chrono::milliseconds most = std::chrono::seconds(10));
-  // Writes the request and does not wait.
+  // Writes the request and does not wait; the answer to the newest one that was told.
   void tell(const Asked& asked);
+  std::optional<Answered> hear(std::chrono::milliseconds most = std::chrono::seconds(10));
+  // The same request in two pieces: the first bytes of it now, the rest when `tell_rest` is called.
+  void tell_begin(const Asked& asked, std::size_t bytes);
+  void tell_rest();
+  // Asks for the health, as a platform's check does; absent as above.
+  std::optional<bool> check(std::chrono::milliseconds most = std::chrono::seconds(10));
 
  private:
   bool read(std::string& to, std::size_t bytes, std::chrono::steady_clock::time_point until);
+  std::optional<std::string> read_payload(std::chrono::steady_clock::time_point until);
+  std::string next_frame(const Asked& asked);
+  std::string rest_;
   boost::asio::io_context io_;
   boost::asio::ip::tcp::socket socket_;
   int number_;
