Settings under which no promise could be kept are one clear line and exit 2

Need: bad settings (unknown effect, window or deadline of zero, a class named twice) were taken at the start and read with caution, or not noticed: seen by starting the program on each. Change: config refuses them, at the start with exit status 2 and at SIGHUP by keeping the old; test in parts_test.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -106,6 +106,30 @@
   return found;
 }
 
+// Settings under which no promise could be kept are refused at the start: guards against a class whose
+// requests are due at once, or whose repeats can't be told from new ones.
+void hold_classes(const Config& c) {
+  const auto& s = c.parsed.settings;
+  const auto bad = [&](std::size_t i, const char* what) {
+    throw Bad("class " + c.catalog.classes[i] + ": " + what);
+  };
+  for (std::size_t i = 0; i < s.classes.size() && i < c.catalog.classes.size(); ++i) {
+    const auto unusable = [&](const char* key) {
+      const auto name = "classes." + std::to_string(i) + "." + key;
+      return std::find(s.unusable.begin(), s.unusable.end(), name) != s.unusable.end();
+    };
+    const auto& cls = s.classes[i];
+    if (unusable("effect")) bad(i, "effect is none of retryable, dedup, fragile");
+    if (unusable("deadline_ms") || (cls.deadline && cls.deadline->count() <= 0))
+      bad(i, "deadline_ms is not above 0");
+    if (cls.effect == Effect::once_by_key &&
+        (unusable("repeat_window_ms") || (cls.repeat_window && cls.repeat_window->count() <= 0)))
+      bad(i, "repeat_window_ms is not above 0");
+    for (std::size_t k = 0; k < i; ++k)
+      if (c.catalog.classes[k] == c.catalog.classes[i]) bad(i, "is named twice");
+  }
+}
+
 Config read(const Json& json) {
   if (!json.is_object()) throw Bad("not an object");
   Config c;
@@ -126,6 +150,7 @@
   if (c.catalog.classes.empty()) throw Bad("\"settings\" names no class");
   flatten(settings, "", c.settings_text);
   c.parsed = parse_settings(c.settings_text);
+  hold_classes(c);
   for (const auto& cls : c.parsed.settings.classes)
     c.catalog.keyed.push_back(cls.effect == Effect::once_by_key);
   return c;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -51,6 +51,15 @@
   CHECK(problem(kConfig, "3200", "-1") == "stop_ms is no usable number");
   CHECK(problem(kConfig, "\"classes\"", "\"c\"") == "\"settings\" names no class");
   CHECK(problem(kConfig, "{\"name\"", "{name").find('\n') == std::string::npos);
+  // What would break promises: nothing is served under it.
+  CHECK(problem(kConfig, "dedup", "often") == "class a, b: effect is none of retryable, dedup, fragile");
+  CHECK(problem(kConfig, "\"aim_ms\"", "\"deadline_ms\":0,\"aim_ms\"") ==
+        "class a, b: deadline_ms is not above 0");
+  CHECK(problem(kConfig, "\"aim_ms\"", "\"deadline_ms\":-5,\"aim_ms\"") ==
+        "class a, b: deadline_ms is not above 0");
+  CHECK(problem(kConfig, "\"aim_ms\"", "\"repeat_window_ms\":0.0,\"aim_ms\"") ==
+        "class a, b: repeat_window_ms is not above 0");
+  CHECK(problem(kConfig, "\"dedup\"}", "\"dedup\"},{\"name\":\"a, b\"}") == "class a, b: is named twice");
 }
 
 edge::Request keyed(std::string rid, Duration reached, std::string body = "b") {
