An operators' door, drain and resume, and a new version that takes over the door under load

Change: src/lifecycle (one state that checks, list, door and end read), src/admin (health, quiesce, resume), $EDGE_FD in place of a bind, src/handover (claims on keyed requests in a table both processes map; who serves). At SIGTERM with a successor that serves the old process leaves the backlog, answers what it has read and tells its clients to go; without one it drains as ever.

--- a/src/announce/announcer.cpp
+++ b/src/announce/announcer.cpp
@@ -46,7 +46,10 @@
         socket_.close(ignored);
       }
     }
-    if (!newest) continue;
+    if (!newest || silent_) {
+      next = Mailbox<Mail>::Clock::time_point::max();
+      continue;
+    }
     boost::system::error_code error;
     if (!socket_.is_open()) socket_.open(service_.protocol(), error);
     if (!error)
--- a/src/announce/announcer.h
+++ b/src/announce/announcer.h
@@ -19,6 +19,8 @@
             std::string name, Logger& log);
   boost::asio::awaitable<void> run();
   void report(const edge::Report& report);
+  // Nothing more is said: another process speaks under this name now.
+  void fall_silent() { silent_ = true; }
   // The service is at this address from now on, and hears the newest report at once.
   void move_to(const boost::asio::ip::udp::endpoint& service);
 
@@ -29,6 +31,7 @@
   boost::asio::ip::udp::endpoint service_;
   std::string name_;
   Logger& log_;
+  bool silent_ = false;
 };
 
 }  // namespace granitegap::announce
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -40,15 +40,7 @@
 
 Endpoint endpoint(const Json& object, const char* name) {
   const auto value = text(object, name);
-  const auto colon = value.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos && colon > 0) {
-    const auto* end = value.data() + value.size();
-    const auto [at, error] = std::from_chars(value.data() + colon + 1, end, port);
-    // Port 0 is for tests: the system picks one.
-    if (error == std::errc{} && at == end && port <= std::numeric_limits<std::uint16_t>::max())
-      return {value.substr(0, colon), std::uint16_t(port)};
-  }
+  if (const auto found = read_endpoint(value)) return *found;
   throw Bad(std::string(name).append(" is no address with a port: ").append(value));
 }
 
@@ -137,6 +129,7 @@
   c.listen = endpoint(json, "listen");
   c.kernel = endpoint(json, "kernel");
   c.announce = endpoint(json, "announce");
+  if (json.contains("admin_addr")) c.admin = endpoint(json, "admin_addr");
   c.seed = seed_of(json);
   c.stop = std::chrono::milliseconds(std::llround(number(json, "stop_ms", 0, 1e9)));
   const auto& limits = member(json, "limits");
@@ -158,6 +151,18 @@
 
 }  // namespace
 
+std::optional<Endpoint> read_endpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  unsigned port = 0;
+  if (colon == std::string::npos || colon == 0) return std::nullopt;
+  const auto* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  // Port 0 is for tests: the system picks one.
+  if (error != std::errc{} || at != end || port > std::numeric_limits<std::uint16_t>::max())
+    return std::nullopt;
+  return Endpoint{text.substr(0, colon), std::uint16_t(port)};
+}
+
 std::variant<Config, Problem> parse(std::string_view json) {
   try {
     return read(Json::parse(json));
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -25,6 +26,7 @@
 struct Config {
   std::string name;
   Endpoint listen, kernel, announce;
+  std::optional<Endpoint> admin;  // the operators' door
   std::uint64_t seed = 0;
   std::chrono::milliseconds stop{};  // from the notice to leave to the kill
   Limits limits;
@@ -36,6 +38,8 @@
   std::string what;  // one line
 };
 
+// A host and a port, as 10.0.0.4:7001; absent where it is none.
+std::optional<Endpoint> read_endpoint(const std::string& text);
 std::variant<Config, Problem> parse(std::string_view json);
 std::variant<Config, Problem> load(const std::string& path);
 
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -249,13 +249,14 @@
 // was written later than its stamp tells.
 bool Edge::past_grace() const {
   const auto grace = settings_.settings.drain_grace.value_or(Duration{});
-  return drain_from_ && now_.unix > *drain_from_ + std::max(grace - kGraceMargin, Duration{});
+  return drain_from_ && !lifecycle_.handing_over() &&
+         now_.unix > *drain_from_ + std::max(grace - kGraceMargin, Duration{});
 }
 
 void Edge::on(const HealthCheck& check) {
-  const bool deep = check.full && settings_.settings.deep_checks.value_or(false) && !from_store_;
+  const bool deep = check.full && settings_.settings.deep_checks.value_or(false) && !from_store_ && fit();
   if (!module_ || !deep || deep_checks_.size() >= kMaxDeepChecks) {
-    out_.emplace_back(HealthAnswer{check.from, good_, hint_});
+    out_.emplace_back(HealthAnswer{check.from, fit(), hint_});
     return;
   }
   deep_checks_[next_check_] = check.from;
@@ -264,7 +265,7 @@
 
 void Edge::on(const DeepCheckDone& done) {
   const auto node = deep_checks_.extract(done.tag);
-  if (node) out_.emplace_back(HealthAnswer{node.mapped(), done.good && good_, hint_});
+  if (node) out_.emplace_back(HealthAnswer{node.mapped(), done.good && fit(), hint_});
 }
 
 // Guards against work for a connection that can't carry its answer. What runs goes on under the module's
@@ -316,6 +317,11 @@
 void Edge::on(const Drain& drain) {
   if (drain_from_) return;
   drain_from_ = now_.unix;
+  // Handed over, it tells nobody to stay away: that would be said of the successor too.
+  if (lifecycle_.handing_over()) {
+    if (module_) events_.emplace_back(DrainNotice{drain.until_stopped});
+    return;
+  }
   good_ = false;
   report_health();
   // What the checks under way ask is answered now: the kernel's word may come late, or never.
@@ -335,6 +341,7 @@
     course_->health(good_, now_.steady);
   }
   if (anew) born_ = born;
+  lifecycle_.kernel_up();
   if (module_) return;
   settings_.settings.cold = booted.cold;
   born_ = born;
@@ -355,7 +362,7 @@
     case RunEnd::error:
       return finish_run(id, RunResult::error, report.took, nullptr);
     case RunEnd::moot:
-      if (!o.stopped) keys_.never_ran(o.request, id);
+      never_ran(o, id);
       return finish_run(id, RunResult::moot, report.took, nullptr);
     case RunEnd::stopped:
       break;
@@ -391,10 +398,16 @@
   const auto& o = open_.at(id);
   if (o.work != Work::running) return;
   // Guards against a token spoilt for its window by a try that the kernel never knew.
-  if (!o.stopped) keys_.never_ran(o.request, id);
+  never_ran(o, id);
   finish_run(id, RunResult::error, {}, nullptr);
 }
 
+void Edge::never_ran(const Open& o, RequestId id) {
+  if (o.stopped) return;
+  keys_.never_ran(o.request, id);
+  if (claims_.never_ran && !o.request.token.empty()) claims_.never_ran(o.request);
+}
+
 void Edge::on(const Gauges& gauges) {
   gauges_ = gauges.values;
   gauges_at_ = now_.steady;
@@ -452,6 +465,14 @@
       answer(*o, run ? Outcome::failed : Outcome::refused);
     return end(id, KeyTable::RunState::bad, nullptr);
   }
+  // What another process may have run, or may be running, is not run here; this try never was.
+  if (claims_.claim && !o->request.token.empty() &&
+      !claims_.claim(o->request, keys_.span(o->request.cls), now_.unix)) {
+    events_.emplace_back(RunEnded{id, RunResult::moot, {}});
+    answer(*o, o->ran ? Outcome::failed : Outcome::refused, nullptr,
+           settings_.settings.max_advice.value_or(Duration{}));
+    return end(id, KeyTable::RunState::bad, nullptr);
+  }
   o->work = Work::running;
   o->ran = true;
   o->since = now_.steady;
@@ -524,13 +545,16 @@
 }
 
 void Edge::apply(const SetHealth& a) {
+  if (lifecycle_.handing_over()) return;
   from_store_ = a.from_store;
   const bool good = a.good && !drain_from_;
   if (std::exchange(good_, good) != good) report_health();
   if (course_) course_->health(good_, now_.steady);
 }
 
-void Edge::apply(const AdvertiseCredit& a) { hint_ = std::max(a.credit, 0.0); }
+void Edge::apply(const AdvertiseCredit& a) {
+  if (!lifecycle_.handing_over()) hint_ = std::max(a.credit, 0.0);
+}
 void Edge::apply(const CloseIdle& a) { out_.emplace_back(CloseIdlePeers{a.idle_for}); }
 void Edge::apply(const SetTimer& a) {
   timers_.push({now_.steady + std::max(a.after, Duration(1)), timer_order_++, a.token});
@@ -728,8 +752,15 @@
   return i < classes.size() ? classes[i].aim.value_or(Duration::max()) : Duration::max();
 }
 
+Duration Edge::longest_span() const {
+  Duration longest{};
+  for (std::size_t i = 0; i < catalog_.classes.size(); ++i)
+    if (catalog_.is_keyed(ClassId(i))) longest = std::max(longest, keys_.span(ClassId(i)));
+  return longest;
+}
+
 void Edge::report_health() {
-  if (module_ || drain_from_) out_.emplace_back(Report{good_ && !drain_from_});
+  if (lifecycle_.reports() && (module_ || drain_from_)) out_.emplace_back(Report{fit() && !drain_from_});
 }
 
 }  // namespace granitegap::edge
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -17,6 +17,7 @@
 #include "edge/keys.h"
 #include "edge/types.h"
 #include "granitegap/policy.h"
+#include "lifecycle/lifecycle.h"
 #include "settings/settings.h"
 
 namespace granitegap::edge {
@@ -38,6 +39,25 @@
   void guide_return(const recovery::CourseRules& rules, TimePoint started);
   const recovery::Course* course() const { return course_ ? &*course_ : nullptr; }
 
+  // Another process may stand at the same door: keyed requests are claimed for all of them before they run.
+  // Before the first step. `claim` is false where it must not run here; its window, counted from `reached`,
+  // and margin are `span`.
+  struct ClaimHooks {
+    std::function<bool(const Request& request, Duration span, UnixTime now)> claim;
+    std::function<void(const Request& request)> never_ran;
+  };
+  void claim_keyed(ClaimHooks hooks) { claims_ = std::move(hooks); }
+  Duration longest_span() const;  // of the keyed classes
+
+  // The one state that all who tell others of this process read. Whoever changes it hands in a
+  // LifecycleChanged, so that the list hears of it.
+  lifecycle::Lifecycle& lifecycle() { return lifecycle_; }
+  const lifecycle::Lifecycle& lifecycle() const { return lifecycle_; }
+  // Whether checks hear good of it.
+  bool fit() const { return good_ && lifecycle_.welcomes(); }
+  // The module holds its machine unfit, whatever operators say.
+  bool held_unfit() const { return !good_; }
+
   // All that came since the last step, in order; what is to be done now, in order.
   std::vector<Output> step(Now now, std::vector<Input> inputs);
   std::optional<TimePoint> next_timer();
@@ -86,6 +106,7 @@
   void on(const PeerGone& gone);
   void on(const Withdrawn& withdrawn);
   void on(const Drain& drain);
+  void on(const LifecycleChanged&) { report_health(); }
   void on(const Booted& booted);
   void on(RunReport report);
   void on(const CallWanted& wanted);
@@ -138,6 +159,7 @@
   void turn_away(const Origin& to);
   void end(RequestId id, KeyTable::RunState state, Result result);
   void settle_follower(RequestId id, KeyTable::RunState state, const Result& result);
+  void never_ran(const Open& o, RequestId id);
   void finish_run(RequestId id, RunResult how, Duration took, Result result);
   void report_health();
   Duration aim_of(ClassId cls) const;
@@ -170,6 +192,8 @@
   std::vector<float> gauges_;
   TimePoint gauges_at_, swept_at_;
   std::optional<double> hint_;
+  lifecycle::Lifecycle lifecycle_;
+  ClaimHooks claims_;
   std::optional<UnixTime> drain_from_;
   struct Fleet {
     double missing = 0;  // share of the agreed fleet
--- a/src/edge/keys.cpp
+++ b/src/edge/keys.cpp
@@ -84,9 +84,11 @@
   return key && key->run ? &*key->run : nullptr;
 }
 
+Duration KeyTable::span(ClassId cls) const { return rules(cls).window + kWindowMargin; }
+
 const KeyTable::Run* KeyTable::covering_run(const Request& request) const {
   const auto* run = any_run(request);
-  return run && request.reached <= run->reached + rules(request.cls).window + kWindowMargin ? run : nullptr;
+  return run && request.reached <= run->reached + span(request.cls) ? run : nullptr;
 }
 
 void KeyTable::sweep(UnixTime now) {
--- a/src/edge/keys.h
+++ b/src/edge/keys.h
@@ -39,6 +39,8 @@
   // The run whose window covers this try: it must not run again.
   const Run* covering_run(const Request& request) const;
   const Run* any_run(const Request& request) const;
+  // From a run's stamp on, how long no other try runs.
+  Duration span(ClassId cls) const;
   void sweep(UnixTime now);
   std::size_t size() const { return keys_.size(); }
 
--- a/src/edge/module_actor.h
+++ b/src/edge/module_actor.h
@@ -20,6 +20,7 @@
   boost::asio::awaitable<void> run();
   Mailbox<Input>& mailbox() { return mailbox_; }
   const Edge& edge() const { return edge_; }
+  Edge& edge() { return edge_; }
   // Nothing waits in the mailbox and no request waits for its answer.
   bool at_rest() const { return mailbox_.empty() && edge_.owes_nothing(); }
 
--- a/src/edge/types.h
+++ b/src/edge/types.h
@@ -187,14 +187,15 @@
 struct Drain {
   Duration until_stopped{};
 };
-struct UnusableRequest {  // nothing of it can be relied on but where its answer goes
+struct LifecycleChanged {};  // by an operator: the list is to hear of it
+struct UnusableRequest {     // nothing of it can be relied on but where its answer goes
   Origin from;
 };
 
 using Input =
-    std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, Booted, RunReport,
-                 CallWanted, CommandRejected, Gauges, DeepCheckDone, deps::CallReport, NewDeclaration,
-                 FleetNews, EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
+    std::variant<Request, UnusableRequest, HealthCheck, PeerGone, Withdrawn, Drain, LifecycleChanged, Booted,
+                 RunReport, CallWanted, CommandRejected, Gauges, DeepCheckDone, deps::CallReport,
+                 NewDeclaration, FleetNews, EarlierLifeNews, LearnedNews, LearningOver, Closing, FillAsked>;
 
 struct AskOthers {};  // what they know: the memory of this process is blank, or old
 
--- /dev/null
+++ b/src/handover/shared_table.h
@@ -0,0 +1,51 @@
+// The file in $TMPDIR that processes of one tile server share while one takes over from the other: the claims
+// on keyed requests, and who of them serves. Mapped whole and reserved at the start, so that no later write
+// waits for room; one lock, held for a claim only and never waited for.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "handover/claims.h"
+
+namespace granitegap::handover {
+
+struct Unusable {  // why there is no table: then nothing keyed may run
+  std::string why;
+};
+
+class SharedTable {
+ public:
+  // `folder`: $TMPDIR. `longest`: the longest window and margin of a keyed class.
+  static std::variant<SharedTable, Unusable> open(const std::string& folder, const std::string& name,
+                                                  std::uint64_t life, Duration longest, UnixTime now);
+  SharedTable(SharedTable&& other) noexcept;
+  SharedTable& operator=(SharedTable&&) = delete;
+  ~SharedTable();
+
+  // As Claims::claim; doubt as well where another process holds the lock at this very moment.
+  Verdict claim(const Token& token, UnixTime reached, Duration span, UnixTime now);
+  void never_ran(const Token& token);
+  // This process can serve: others of this tile server may leave its door to it.
+  void serves();
+  // Another process that lives, and can serve, stands at the same door.
+  bool another_serves() const;
+  bool wiped() const { return wiped_; }  // what was found could not be believed
+  static constexpr std::size_t kPlaces = 16384;
+  static constexpr std::size_t kBytes = sizeof(Head) + kPlaces * sizeof(Claim);
+
+ private:
+  SharedTable(int fd, void* memory, std::uint64_t life, Duration longest);
+  Head& head() const { return *static_cast<Head*>(memory_); }
+  std::span<Claim> places() const;
+  bool lock(short type) const;
+  int fd_ = -1;
+  void* memory_ = nullptr;
+  std::uint64_t life_ = 0;
+  Duration longest_{};
+  std::size_t row_ = Head::kLives;
+  bool wiped_ = false;
+};
+
+}  // namespace granitegap::handover
--- a/src/kernel/link.h
+++ b/src/kernel/link.h
@@ -59,6 +59,7 @@
        const edge::Catalog& catalog, Mail& module, Logger& log);
   boost::asio::awaitable<void> run();
   void send(const edge::Command& command);
+  bool up() const { return ready_; }
   // The kernel's address is now this one. A link elsewhere ends, the next is tried without a pause, and the
   // ledger carries over: numbers go on and what is open is asked again.
   void move_to(const boost::asio::ip::tcp::endpoint& kernel);
--- /dev/null
+++ b/src/lifecycle/lifecycle.cpp
@@ -0,0 +1,35 @@
+#include "lifecycle/lifecycle.h"
+
+namespace granitegap::lifecycle {
+
+const char* text_of(Phase phase) {
+  switch (phase) {
+    case Phase::starting:
+      return "starting";
+    case Phase::serving:
+      return "serving";
+    case Phase::quiesced:
+      return "quiesced";
+    case Phase::stopping:
+      break;
+  }
+  return "stopping";
+}
+
+bool Lifecycle::quiesce() {
+  if (stopping()) return false;
+  quiesced_ = true;
+  return true;
+}
+
+bool Lifecycle::resume() {
+  if (stopping()) return false;
+  quiesced_ = false;
+  return true;
+}
+
+void Lifecycle::stop(bool successor_serves) {
+  if (!stopping()) stop_ = successor_serves ? Stop::hand_over : Stop::drain;
+}
+
+}  // namespace granitegap::lifecycle
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "membership_udp/ask.h"
+#include "net/inherited.h"
 #include "server/server.h"
 #include "snapshot/show.h"
 
@@ -71,6 +72,27 @@
     if (const auto errors = operators::bind(*extras.declared, config.catalog); !errors.empty())
       return tell(errors);
   }
+  const auto refuse = [](const std::string& what) {
+    std::fprintf(stderr, "granitegap: %s\n", what.c_str());
+    return kUnusable;
+  };
+  // The environment wins over the file: of two processes on one file it alone tells them apart.
+  extras.admin = config.admin;
+  if (const char* text = std::getenv("EDGE_ADMIN_ADDR"); text && *text) {
+    extras.admin = config::read_endpoint(text);
+    if (!extras.admin) return refuse(std::string("EDGE_ADMIN_ADDR is no address with a port: ") + text);
+  }
+  if (extras.admin) {
+    boost::system::error_code error;
+    boost::asio::ip::make_address(extras.admin->host, error);
+    if (error) return refuse("the operators' door: not a numeric address: " + extras.admin->host);
+  }
+  if (const char* text = std::getenv("EDGE_FD"); text && *text) {
+    auto door = net::inherited_listener(text);
+    if (const auto* why = std::get_if<std::string>(&door)) return refuse("EDGE_FD " + *why);
+    extras.listening = std::get<int>(door);
+    if (const char* folder = std::getenv("TMPDIR")) extras.shared_folder = folder;
+  }
   if (extras.declared && extras.declared->membership)
     extras.declared->membership->options.plain = options.plain_membership;
   // Guards against gathers that wait until they are due for a leave that the module can never give.
@@ -103,6 +125,8 @@
     context.run();
     // Guards against an end that waits for a disk that hangs: all is answered, and the kill would come.
     if (server.disk_hangs()) std::_Exit(0);
+  } catch (const UnusableAddress& e) {
+    return refuse(e.what());
   } catch (const std::exception& e) {
     std::fprintf(stderr, "granitegap: %s\n", e.what());
     return 1;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -21,7 +21,8 @@
 }  // namespace
 
 Listener::Listener(const asio::any_io_executor& executor, const tcp::endpoint& at, std::size_t sockets,
-                   const edge::Catalog& catalog, Mailbox<edge::Input>& module, Logger& log)
+                   const edge::Catalog& catalog, Mailbox<edge::Input>& module, Logger& log,
+                   std::optional<int> inherited)
     : executor_(executor),
       acceptor_(executor),
       retry_(executor),
@@ -30,6 +31,11 @@
       catalog_(catalog),
       module_(module),
       log_(log) {
+  if (inherited) {
+    acceptor_.assign(at.protocol(), *inherited);
+    acceptor_.non_blocking(true);
+    return;
+  }
   acceptor_.open(at.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
@@ -129,8 +135,17 @@
     acceptor_.accept(socket, error);
     if (!error) admit(std::move(socket));
   }
+  tell_all();
+}
+
+void Listener::leave_door() {
+  if (!door_closed_) tell_all();
+}
+
+void Listener::tell_all() {
   door_closed_ = true;
-  acceptor_.close(error);
+  error_code ignored;
+  acceptor_.close(ignored);
   for (const auto& [id, peer] : peers_) peer->deliver(GoAway{});
 }
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -18,7 +18,8 @@
 constexpr milliseconds kDoorBefore = 400ms;  // the end, for what the list has not kept away
 constexpr milliseconds kCrossing = 150ms;    // a request may cross the notice on its connection for 50 ms
 constexpr milliseconds kLook = 5ms;
-constexpr std::size_t kMostComposed = 200 * 1024;  // well inside a frame
+constexpr milliseconds kMostDeadline = 3000ms, kAfterDeadline = 600ms;  // as a handed over door's kill counts
+constexpr std::size_t kMostComposed = 200 * 1024;                       // well inside a frame
 
 template <class Protocol>
 typename Protocol::endpoint address(const config::Endpoint& e, boost::system::error_code& error) {
@@ -64,7 +65,8 @@
 // Calls below, and the door where others ask, take their descriptors from the same limit, and never more than
 // half of it.
 std::size_t Server::sockets_for_peers(const config::Config& config, const Extras& extras) {
-  const auto all = config.limits.sockets;
+  auto all = config.limits.sockets;
+  if (extras.admin) all -= std::min(admin::Door::kDescriptors, all / 4);
   if (!extras.declared) return all;
   return all - std::min(extras.declared->connections + sockets_for_door(extras), all / 2);
 }
@@ -82,8 +84,17 @@
             module_.mailbox(), log_),
       announcer_(context.get_executor(), address<asio::ip::udp>(config_.announce), config_.name, log_),
       listener_(context.get_executor(), address<asio::ip::tcp>(config_.listen),
-                sockets_for_peers(config_, extras_), config_.catalog, module_.mailbox(), log_) {
+                sockets_for_peers(config_, extras_), config_.catalog, module_.mailbox(), log_,
+                extras_.listening) {
   clocks_ = std::move(clocks);
+  if (extras_.admin) try {
+      admin_ = std::make_unique<admin::Door>(
+          context.get_executor(), address<asio::ip::tcp>(*extras_.admin),
+          [this](admin::Call call) { return answer(call); }, log_);
+    } catch (const std::exception& e) {
+      throw UnusableAddress("the operators' door at " + text_of(*extras_.admin) + ": " + e.what());
+    }
+  if (extras_.listening) share_door();
   if (!extras_.declared) return;
   if (extras_.declared->fills()) {
     auto& m = *extras_.declared->membership;
@@ -220,6 +231,52 @@
                                               config_.name, life, unix_ms, random(), std::move(hooks), log_);
 }
 
+// What stands at this door beside this process must not run what it runs, nor the other way round.
+void Server::share_door() {
+  auto& edge = module_.edge();
+  const auto now = clocks_();
+  auto opened = handover::SharedTable::open(extras_.shared_folder, config_.name,
+                                            config_.seed ^ std::uint64_t(now.unix.time_since_epoch().count()),
+                                            edge.longest_span(), now.unix);
+  if (const auto* no = std::get_if<handover::Unusable>(&opened)) {
+    log_.line("no keyed request runs: the door is shared and its table can't be: " + no->why,
+              {{"event", "claims_unusable"}, {"why", no->why}});
+    edge.claim_keyed({[](const auto&, auto, auto) { return false; }, {}});
+    return;
+  }
+  shared_.emplace(std::get<handover::SharedTable>(std::move(opened)));
+  if (shared_->wiped())
+    log_.line("keyed requests wait for one window: the table of claims was not to be believed",
+              {{"event", "claims_wiped"}});
+  const auto token = [this](const edge::Request& r) {
+    return handover::token_of(config_.catalog.classes[std::size_t(r.cls)], r.token);
+  };
+  edge.claim_keyed({[this, token](const edge::Request& r, Duration span, edge::UnixTime at) {
+                      return shared_->claim(token(r), r.reached, span, at) == handover::Verdict::mine;
+                    },
+                    [this, token](const edge::Request& r) { shared_->never_ran(token(r)); }});
+}
+
+// Of what this process knows now: no queue stands between a call and its answer.
+admin::Reply Server::answer(admin::Call call) {
+  auto& life = module_.edge().lifecycle();
+  if (call == admin::Call::health) {
+    std::string text = lifecycle::text_of(life.phase());
+    if (life.up() && !link_.up()) text += ", kernel link down";
+    if (life.up() && !life.stopping() && module_.edge().held_unfit()) text += ", held unfit by the module";
+    return {life.up() && !life.stopping(), text};
+  }
+  const auto before = life.phase();
+  const bool done = call == admin::Call::quiesce ? life.quiesce() : life.resume();
+  if (!done) return {false, "stopping: nothing leads back"};
+  if (life.phase() != before) {
+    module_.mailbox().post_control(edge::LifecycleChanged{});
+    log_.line(std::string("operators' door: ") + lifecycle::text_of(life.phase()),
+              {{"event", "lifecycle"}, {"phase", lifecycle::text_of(life.phase())}});
+  }
+  return {true, lifecycle::text_of(life.phase())};
+}
+
 void Server::start() {
   spawn(module_.run());
   spawn(link_.run());
@@ -233,6 +290,12 @@
     spawn(fleet_->run());
   }
   if (fill_door_) spawn(fill_door_->serve());
+  if (admin_) {
+    spawn(admin_->serve());
+    const auto door = admin_->local();
+    log_.line("operators' door at " + door.address().to_string() + ":" + std::to_string(door.port()),
+              {{"event", "operators_door"}, {"port", std::int64_t(door.port())}});
+  }
   if (keeper_) spawn(keeper_->run());
   if (learning_) {
     learning_->begin();
@@ -269,7 +332,10 @@
 }
 void Server::carry_out(edge::HealthAnswer&& health) { listener_.deliver(health.to, health); }
 void Server::carry_out(edge::Command&& command) { link_.send(command); }
-void Server::carry_out(edge::Report&& report) { announcer_.report(report); }
+void Server::carry_out(edge::Report&& report) {
+  if (shared_ && module_.edge().lifecycle().up()) shared_->serves();
+  announcer_.report(report);
+}
 void Server::carry_out(edge::CloseIdlePeers&& idle) { listener_.close_idle(idle.idle_for); }
 void Server::carry_out(edge::Remark&& remark) {
   log_.line(remark.text, {{"event", remark.event}, {"subject", remark.subject}});
@@ -294,10 +360,40 @@
 
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
-  log_.line("notice to leave: " + std::to_string(config_.stop.count()) + " ms left",
-            {{"event", "leaving"}, {"left_ms", std::int64_t(config_.stop.count())}});
-  module_.mailbox().post_control(edge::Drain{config_.stop});
-  spawn(leave());
+  const bool successor = shared_ && shared_->another_serves();
+  module_.edge().lifecycle().stop(successor);
+  const auto left = successor ? time_to_hand_over() : config_.stop;
+  log_.line("notice to leave: " + std::to_string(left.count()) + " ms left" +
+                (successor ? ", the door is another process's" : ""),
+            {{"event", "leaving"}, {"left_ms", std::int64_t(left.count())}});
+  module_.mailbox().post_control(edge::Drain{left});
+  spawn(successor ? hand_over(left) : leave());
+}
+
+// The kill comes after the longest deadline, 3 s at most, and some more; or by stop_ms, if that is less.
+std::chrono::milliseconds Server::time_to_hand_over() const {
+  Duration longest{};
+  for (const auto& c : config_.parsed.settings.classes)
+    longest = std::max(longest, c.deadline.value_or(c.aim.value_or(1s)));
+  const auto most = std::chrono::duration_cast<milliseconds>(std::min<Duration>(longest, kMostDeadline));
+  return std::min(config_.stop, most + kAfterDeadline);
+}
+
+// Another process serves at this door. What was read here is answered here, what still comes on the
+// connections that stand too; new ones are the other's, and so are the list and its checks.
+asio::awaitable<void> Server::hand_over(std::chrono::milliseconds within) {
+  using Clock = std::chrono::steady_clock;
+  const auto end = Clock::now() + within - std::min(kLastMoment, within / 8);
+  announcer_.fall_silent();
+  listener_.leave_door();
+  asio::steady_timer timer(context_);
+  while (Clock::now() < end) {
+    timer.expires_after(kLook);
+    co_await timer.async_wait(asio::use_awaitable);
+    // Its clients end what rests, once they have been told: guards against a request sent back unheard.
+    if (module_.at_rest() && listener_.empty()) break;
+  }
+  end_all();
 }
 
 void Server::reload(const std::variant<config::Config, config::Problem>& loaded) {
@@ -316,6 +412,7 @@
   note(fresh.name == config_.name, "name");
   note(fresh.listen == config_.listen, "listen");
   note(fresh.limits == config_.limits, "limits");
+  note(fresh.admin == config_.admin, "admin_addr");
   note(fresh.settings_text == config_.settings_text, "settings");
   config_.kernel = fresh.kernel;
   config_.announce = fresh.announce;
@@ -386,12 +483,17 @@
     if (keeper_) keeper_->end();
     if ((!fleet_ || fleet_->has_left()) && (!keeper_ || keeper_->over())) break;
   }
+  end_all();
+}
+
+void Server::end_all() {
   const bool all = module_.at_rest() && listener_.at_rest();
   log_.line(all ? "left: all answered" : "left: with answers unsent",
             {{"event", all ? "left" : "left_unsent"}});
   if (caller_) caller_->close_all();
   if (learning_) learning_->close();
   if (fill_door_) fill_door_->close();
+  if (admin_) admin_->close();
   listener_.close_all();
   context_.stop();
 }
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -2,13 +2,16 @@
 #pragma once
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <stdexcept>
 #include <variant>
 
+#include "admin/door.h"
 #include "announce/announcer.h"
 #include "config/config.h"
 #include "deps_http/caller.h"
 #include "edge/module_actor.h"
 #include "fill_http/door.h"
+#include "handover/shared_table.h"
 #include "kernel/link.h"
 #include "learning_tcp/actor.h"
 #include "log/logger.h"
@@ -19,12 +22,20 @@
 
 namespace granitegap {
 
+// An address that was asked for can't be had: a clear line, and exit status 2.
+struct UnusableAddress : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 class Server {
  public:
   struct Extras {                                 // what an operator may add; none of it on the platform
     std::optional<operators::Declared> declared;  // its classes numbered
     LogForm log = LogForm::text;
-    bool guarded = true;  // false: the plain policy that measurements compare with
+    bool guarded = true;                    // false: the plain policy that measurements compare with
+    std::optional<int> listening;           // an inherited socket; docs/operation.md
+    std::optional<config::Endpoint> admin;  // the operators' door
+    std::string shared_folder;              // with `listening`: what processes at one door share
   };
   Server(boost::asio::io_context& context, config::Config config, Extras extras,
          edge::ModuleActor::Clocks clocks = edge::read_clocks);
@@ -58,6 +69,11 @@
   void carry_out(edge::AskOthers&& ask);
   void carry_out(edge::FillAnswer&& answer);
   boost::asio::awaitable<void> leave();
+  void end_all();
+  boost::asio::awaitable<void> hand_over(std::chrono::milliseconds within);
+  std::chrono::milliseconds time_to_hand_over() const;
+  void share_door();
+  admin::Reply answer(admin::Call call);
   void join_fleet();
   void learn_from_others();
   learned::Learned collect() const;
@@ -81,6 +97,8 @@
   std::unique_ptr<snapshot::Keeper> keeper_;      // the same
   std::unique_ptr<learning_tcp::Actor> learning_;
   std::unique_ptr<fill_http::Door> fill_door_;
+  std::unique_ptr<admin::Door> admin_;
+  std::optional<handover::SharedTable> shared_;  // only where the door is shared
   edge::ModuleActor::Clocks clocks_;
   bool leaving_ = false;
 };
--- /dev/null
+++ b/tests/operation_test.cpp
@@ -0,0 +1,271 @@
+// Day-to-day operation without processes: the lifecycle, the operators' calls as lines, the claims of two
+// processes in one table, and the file that holds it.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <random>
+
+#include "admin/codec.h"
+#include "handover/shared_table.h"
+#include "lifecycle/lifecycle.h"
+
+namespace granitegap {
+namespace {
+
+using namespace std::chrono_literals;
+using handover::Claims;
+using handover::SharedTable;
+using handover::Verdict;
+using lifecycle::Lifecycle;
+using lifecycle::Phase;
+
+// ---- Lifecycle ----
+
+enum class Event { up, quiesce, resume, drain, hand_over };
+constexpr Event kEvents[] = {Event::up, Event::quiesce, Event::resume, Event::drain, Event::hand_over};
+
+bool tell(Lifecycle& life, Event event) {
+  switch (event) {
+    case Event::up:
+      life.kernel_up();
+      return true;
+    case Event::quiesce:
+      return life.quiesce();
+    case Event::resume:
+      return life.resume();
+    case Event::drain:
+      life.stop(false);
+      return true;
+    case Event::hand_over:
+      life.stop(true);
+      return true;
+  }
+  return false;
+}
+
+// What it must be after any two events, told from the rules and not from the code: a stop wins and the first
+// stop counts; else the last of quiesce and resume; else whether the kernel has been up.
+TEST(Life, EveryOrderedPairOfEvents) {
+  for (const auto first : kEvents)
+    for (const auto second : kEvents) {
+      Lifecycle life;
+      const bool one = tell(life, first), two = tell(life, second);
+      const auto stops = [](Event e) { return e == Event::drain || e == Event::hand_over; };
+      const auto was = [&](Event e) { return first == e || second == e; };
+      const auto stop = stops(first) ? first : second;
+      const bool stopped = stops(first) || stops(second);
+      const bool quiesced = second == Event::quiesce || (first == Event::quiesce && second != Event::resume);
+      const auto expected = stopped          ? Phase::stopping
+                            : quiesced       ? Phase::quiesced
+                            : was(Event::up) ? Phase::serving
+                                             : Phase::starting;
+      SCOPED_TRACE(std::to_string(int(first)) + " then " + std::to_string(int(second)));
+      EXPECT_EQ(life.phase(), expected);
+      EXPECT_EQ(life.up(), was(Event::up));
+      EXPECT_EQ(life.welcomes(), stopped ? stop == Event::hand_over : !quiesced);
+      EXPECT_EQ(life.reports(), !(stopped && stop == Event::hand_over));
+      EXPECT_TRUE(one);
+      // After a stop nothing leads back, and the caller hears so.
+      EXPECT_EQ(two, !(stops(first) && (second == Event::quiesce || second == Event::resume)));
+    }
+}
+
+// ---- The operators' calls ----
+
+std::string answer_to(std::string_view line) {
+  const auto call = admin::parse(line);
+  const auto* bad = std::get_if<admin::BadCall>(&call);
+  return bad ? "ERR " + bad->why : "call " + std::to_string(int(std::get<admin::Call>(call)));
+}
+
+TEST(Admin, LinesThatAreCallsAndLinesThatAreNot) {
+  EXPECT_EQ(answer_to("health"), "call 0");
+  EXPECT_EQ(answer_to("quiesce\r"), "call 1");
+  EXPECT_EQ(answer_to("resume"), "call 2");
+  for (const auto* line : {"", "\r", "Health", "healthy", " health", "health ", "resume now", "quiesce\r\r"})
+    EXPECT_TRUE(answer_to(line).starts_with("ERR ")) << line;
+  EXPECT_EQ(answer_to(std::string_view("he\0lth", 6)), "ERR bytes that are no text");
+  EXPECT_EQ(answer_to("h\xc3\xa9"), "ERR bytes that are no text");
+  EXPECT_EQ(admin::encode({true, "serving"}), "OK serving\n");
+  EXPECT_EQ(admin::encode({false, ""}), "ERR\n");
+}
+
+TEST(Admin, BytesComeInAnyPiecesAndALineHasAnEnd) {
+  admin::Reader pieces;
+  EXPECT_FALSE(pieces.add("hea"));
+  EXPECT_FALSE(pieces.add("lth\r"));
+  const auto call = pieces.add("\nquiesce\n");  // one line a connection
+  ASSERT_TRUE(call);
+  EXPECT_EQ(std::get<admin::Call>(*call), admin::Call::health);
+  admin::Reader endless;
+  std::size_t given = 0;
+  std::optional<std::variant<admin::Call, admin::BadCall>> told;
+  for (; !told && given < 10 * admin::kMostLine; given += 10) told = endless.add("xxxxxxxxxx");
+  ASSERT_TRUE(told);
+  EXPECT_EQ(std::get<admin::BadCall>(*told).why, "line too long");
+  EXPECT_LE(given, admin::kMostLine + 20);
+}
+
+// ---- Claims ----
+
+constexpr Duration kSpan = 10s;
+handover::UnixTime at(Duration since) { return handover::UnixTime(Duration(1764576000s) + since); }
+
+struct Memory {
+  handover::Head head;
+  std::vector<handover::Claim> places = std::vector<handover::Claim>(256);
+  Claims claims() { return {head, places}; }
+  Memory() { claims().adopt(at(0s), kSpan); }
+  Verdict claim(const std::string& token, std::uint64_t life, Duration reached,
+                std::optional<Duration> now = {}) {
+    return claims().claim(handover::token_of("report", token), at(reached), kSpan, life,
+                          at(now.value_or(reached)), kSpan);
+  }
+};
+
+TEST(Claims, ATokenIsOneProcesssForItsWindowInEitherOrder) {
+  Memory m;
+  EXPECT_EQ(m.claim("a", 1, 0s), Verdict::mine);
+  EXPECT_EQ(m.claim("a", 2, 1s), Verdict::theirs);
+  EXPECT_EQ(m.claim("a", 2, 10s, 11s), Verdict::theirs);  // came in the window, was read after it
+  EXPECT_EQ(m.claim("a", 2, 10s + 1us), Verdict::mine);
+  EXPECT_EQ(m.claim("a", 1, 11s), Verdict::theirs);
+  EXPECT_EQ(m.claim("b", 2, 11s), Verdict::mine);
+  EXPECT_EQ(m.claim("b", 1, 11s), Verdict::theirs);
+}
+
+TEST(Claims, WhatTheKernelNeverRanIsGivenBackByWhoeverClaimedIt) {
+  Memory m;
+  m.claim("a", 1, 0s);
+  m.claims().never_ran(handover::token_of("report", "a"), 2);
+  EXPECT_EQ(m.claim("a", 2, 1s), Verdict::theirs);
+  m.claims().never_ran(handover::token_of("report", "a"), 1);
+  EXPECT_EQ(m.claim("a", 2, 1s), Verdict::mine);
+}
+
+TEST(Claims, AFullTableIsDoubtAndAgedClaimsMakeRoom) {
+  Memory m;
+  int doubts = 0;
+  for (int i = 0; i < 1000; ++i) doubts += m.claim(std::to_string(i), 1, 0s) == Verdict::doubt;
+  EXPECT_GE(doubts, 1000 - 256);
+  EXPECT_LE(m.claims().in_force(at(0s)), 256u);
+  EXPECT_EQ(m.claim("fresh", 1, 60s), Verdict::mine);
+}
+
+// Every byte of a record spoilt in turn: whatever it makes of it, the token does not run again.
+TEST(Claims, NoDamageLetsATokenRunAgain) {
+  for (std::size_t byte = 0; byte < sizeof(handover::Claim); ++byte)
+    for (const unsigned char flip : {std::uint8_t{0x01}, std::uint8_t{0x80}, std::uint8_t{0xff}}) {
+      Memory m;
+      ASSERT_EQ(m.claim("a", 1, 0s), Verdict::mine);
+      for (auto& place : m.places)
+        if (place.check != 0) reinterpret_cast<unsigned char*>(&place)[byte] ^= flip;
+      EXPECT_NE(m.claim("a", 2, 1s), Verdict::mine) << "byte " << byte;
+      EXPECT_NE(m.claim("other", 2, 1s), Verdict::mine)
+          << "what stood there could have been it; byte " << byte;
+    }
+}
+
+TEST(Claims, AfterDamageAllWaitsForOneWindowAndNoLonger) {
+  Memory m;
+  m.claim("a", 1, 0s);
+  m.head.magic ^= 1;
+  EXPECT_FALSE(m.claims().adopt(at(1s), kSpan));
+  EXPECT_EQ(m.claim("b", 2, 2s), Verdict::doubt);
+  EXPECT_EQ(m.claim("b", 2, 11s), Verdict::mine);
+  Memory back;  // a clock that was far ahead, and is right again
+  back.claim("a", 1, 1h);
+  EXPECT_EQ(back.claim("a", 2, 0s), Verdict::doubt);
+  EXPECT_EQ(back.claim("a", 2, 10s), Verdict::mine);
+}
+
+// Two processes and an earlier life at random, against a model that knows when each token ran last.
+TEST(Claims, RandomHistoriesRunNoTokenTwiceInAWindow) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    Memory m;
+    std::mt19937 random(seed);
+    std::map<std::string, std::pair<Duration, std::uint64_t>> ran;  // reached, and by which life
+    int runs = 0, refused = 0;
+    for (Duration now{}; now < 120s; now += Duration(random() % 100000)) {
+      const auto token = std::to_string(random() % 30);
+      const Duration reached = std::max(now - Duration(random() % 4000000), Duration{});
+      const std::uint64_t life = 1 + random() % 3;
+      if (m.claim(token, life, reached, now) != Verdict::mine) {
+        ++refused;
+        continue;
+      }
+      ++runs;
+      // A life's own repeats are its own table of keys' to refuse.
+      const auto last = ran.find(token);
+      if (last != ran.end() && reached <= last->second.first + kSpan) {
+        EXPECT_EQ(life, last->second.second) << "seed " << seed;
+      }
+      ran[token] = {reached, life};
+    }
+    EXPECT_GT(runs, 100);
+    EXPECT_GT(refused, 100);
+  }
+}
+
+// ---- The file ----
+
+struct Folder {
+  Folder() {
+    auto pattern = (std::filesystem::temp_directory_path() / "granitegap_claims_XXXXXX").string();
+    path = ::mkdtemp(pattern.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::variant<SharedTable, handover::Unusable> open(std::uint64_t life) const {
+    return SharedTable::open(path, "n1", life, kSpan, at(0s));
+  }
+  std::string path;
+};
+
+TEST(SharedTables, TellWhoServesWhileItLives) {
+  Folder f;
+  auto one = f.open(1);
+  auto& old = std::get<SharedTable>(one);
+  old.serves();
+  EXPECT_FALSE(old.another_serves());
+  {
+    auto two = f.open(2);
+    auto& fresh = std::get<SharedTable>(two);
+    EXPECT_TRUE(fresh.another_serves());
+    EXPECT_FALSE(old.another_serves());  // it is there, and can't serve yet
+    fresh.serves();
+    EXPECT_TRUE(old.another_serves());
+    const auto token = handover::token_of("report", "a");
+    EXPECT_EQ(fresh.claim(token, at(0s), kSpan, at(0s)), Verdict::mine);
+    EXPECT_EQ(old.claim(token, at(0s), kSpan, at(0s)), Verdict::theirs);
+  }
+  EXPECT_FALSE(old.another_serves());
+  auto three = f.open(3);  // takes the row of the one that went
+  EXPECT_FALSE(old.another_serves());
+  EXPECT_EQ(std::get<SharedTable>(three).claim(handover::token_of("report", "a"), at(1s), kSpan, at(1s)),
+            Verdict::theirs);
+}
+
+TEST(SharedTables, SayWhatIsWrongWithTheFolderAndMendAFileThatIsNoTable) {
+  Folder f;
+  EXPECT_TRUE(std::holds_alternative<handover::Unusable>(SharedTable::open("", "n1", 1, kSpan, at(0s))));
+  EXPECT_TRUE(std::holds_alternative<handover::Unusable>(
+      SharedTable::open(f.path + "/gone", "n1", 1, kSpan, at(0s))));
+  EXPECT_TRUE(
+      std::holds_alternative<handover::Unusable>(SharedTable::open(f.path, "../n1", 1, kSpan, at(0s))));
+  std::filesystem::create_directory(f.path + "/granitegap-n1.claims");
+  EXPECT_TRUE(std::holds_alternative<handover::Unusable>(f.open(1)));
+  std::filesystem::remove(f.path + "/granitegap-n1.claims");
+  std::ofstream(f.path + "/granitegap-n1.claims") << "something else";
+  auto opened = f.open(1);
+  auto& table = std::get<SharedTable>(opened);
+  EXPECT_TRUE(table.wiped());
+  EXPECT_EQ(table.claim(handover::token_of("report", "a"), at(1s), kSpan, at(1s)), Verdict::doubt);
+  EXPECT_EQ(table.claim(handover::token_of("report", "a"), at(11s), kSpan, at(11s)), Verdict::mine);
+}
+
+}  // namespace
+}  // namespace granitegap
--- a/tools/fleet/runner.cpp
+++ b/tools/fleet/runner.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -215,6 +217,18 @@
     if (options_.clock_library.empty()) throw std::runtime_error("no library to shift a clock with");
     for (auto* text : {&preload, &shift, &order}) env.push_back(text->data());
   }
+  std::string fd = "EDGE_FD=3", shared = "TMPDIR=" + (folder_ / ("shared-" + p.name)).string();
+  std::string door_of_operators = "EDGE_ADMIN_ADDR=127.0.0.1:0";
+  int door = -1;
+  if (options_.operators_door) env.push_back(door_of_operators.data());
+  if (options_.shared_door) {
+    auto& kept = doors_.try_emplace(p.name, io_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+                     .first->second;
+    door = kept.native_handle();
+    if (options_.shared_folder) std::filesystem::create_directory(folder_ / ("shared-" + p.name));
+    std::erase_if(env, [](const char* e) { return std::strncmp(e, "TMPDIR=", 7) == 0; });
+    for (auto* text : {&fd, &shared}) env.push_back(text->data());
+  }
   env.push_back(nullptr);
   const auto parent = ::getpid();
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -224,6 +238,8 @@
     if (::getppid() != parent) ::_exit(127);
     ::dup2(out, 2);
     ::dup2(out, 1);
+    if (door == 3) ::fcntl(3, F_SETFD, 0);
+    if (door >= 0 && door != 3) ::dup2(door, 3);
     ::execve(argv[0], argv.data(), env.data());
     ::_exit(127);
   }
@@ -282,13 +298,32 @@
   p.paused = false;
 }
 
-std::string Fleet::start_twin(const std::string& name) {
+std::string Fleet::start_twin(const std::string& name, bool boots) {
   const auto alias = name + "'";
-  on_io([&] { prepare(alias, name, processes_.size()); });
+  on_io([&] {
+    prepare(alias, name, processes_.size());
+    at(alias).kernel->hold_boot(!boots);
+  });
   launch(at(alias));
   return alias;
 }
 
+std::uint16_t Fleet::admin_port(const std::string& name) const {
+  return port_after(name, "operators' door at 127.0.0.1:");
+}
+
+std::string Fleet::admin(const std::string& name, const std::string& line) const {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect({asio::ip::address_v4::loopback(), admin_port(name)}, error);
+  if (error) return {};
+  asio::write(socket, asio::buffer(line + "\n"), error);
+  std::string answer;
+  asio::read_until(socket, asio::dynamic_buffer(answer), '\n', error);
+  return answer.substr(0, answer.find('\n'));
+}
+
 Fleet::Cut Fleet::rule(standin::Rule rule) {
   return on_io([&] { return network_->weather().add(std::move(rule)); });
 }
@@ -426,12 +461,16 @@
   return membership_udp::address_of(at(name).advertised);
 }
 
-std::uint16_t Fleet::port(const std::string& name) const {
+// The number after the words, as this life said it.
+std::uint16_t Fleet::port_after(const std::string& name, const std::string& words) const {
   const auto text = log(name);
-  const std::string mark = "listening on 127.0.0.1:";
   std::size_t said = 0, found = std::string::npos;
-  for (std::size_t i = 0; (i = text.find(mark, i)) != std::string::npos; ++i) found = i, ++said;
-  return said < at(name).lives ? 0 : std::uint16_t(std::stoul(text.substr(found + mark.size())));
+  for (std::size_t i = 0; (i = text.find(words, i)) != std::string::npos; ++i) found = i, ++said;
+  return said < at(name).lives ? 0 : std::uint16_t(std::stoul(text.substr(found + words.size())));
+}
+
+std::uint16_t Fleet::port(const std::string& name) const {
+  return port_after(name, "listening on 127.0.0.1:");
 }
 
 }  // namespace granitegap::fleet
--- a/tools/fleet/runner.h
+++ b/tools/fleet/runner.h
@@ -11,6 +11,7 @@
 #pragma once
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <filesystem>
 #include <functional>
@@ -48,6 +49,9 @@
   double cold_ms = 18000;  // the platform's word for how long a machine warms up
   double max_backoff_ms = 1000;
   std::size_t sockets = 256;    // descriptors of each process
+  bool operators_door = false;  // a port of its own for operators
+  bool shared_door = false;   // the clients' socket is kept here and inherited, and $TMPDIR is the name's own
+  bool shared_folder = true;  // false: with `shared_door`, a $TMPDIR that isn't there
   std::uint16_t list_port = 0;  // where reports to the list go; 0: a port that nobody reads
 };
 
@@ -75,7 +79,11 @@
   // Its operator's file with these seeds and further fields, taken over by SIGHUP.
   void redeclare(const std::string& name, const Names& seeds, const std::string& membership = {});
   // One more process under a name that is taken; its own name here is the other's with "'".
-  std::string start_twin(const std::string& name);
+  // `boots`: its kernel comes up.
+  std::string start_twin(const std::string& name, bool boots = true);
+  // One line to the operators' door; what it answers, without the line's end. Empty where it did not.
+  std::string admin(const std::string& name, const std::string& line) const;
+  std::uint16_t admin_port(const std::string& name) const;  // of this life; 0 before it has said so
 
   using Cut = standin::Weather::RuleId;
   Cut cut(Names from, Names to, bool both = false);
@@ -127,6 +135,7 @@
     std::unique_ptr<standin::Kernel> kernel;
     std::filesystem::path folder;
   };
+  std::uint16_t port_after(const std::string& name, const std::string& words) const;
   Process& at(const std::string& name);
   const Process& at(const std::string& name) const;
   void prepare(const std::string& alias, const std::string& name, std::size_t number);
@@ -142,6 +151,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   boost::asio::ip::udp::socket list_;  // where reports to the list go; nobody reads them
   std::unique_ptr<standin::Network> network_;
+  std::map<std::string, boost::asio::ip::tcp::acceptor> doors_;  // by the processes' name
   std::map<std::string, Process> processes_;
   std::vector<std::string> seeds_;
   std::thread thread_;
--- a/tools/standin/kernel.cpp
+++ b/tools/standin/kernel.cpp
@@ -125,7 +125,7 @@
     buffer.erase(0, end);
     std::string verb, word, cls;
     words >> verb >> word;
-    if (verb == "OPEN") open(std::strtoull(word.c_str(), nullptr, 10));
+    if (verb == "OPEN" && !held_) open(std::strtoull(word.c_str(), nullptr, 10));
     if (verb == "SYSINFO")
       say("INFO " + word + " " + std::to_string(use_) + " " + std::to_string(running_.size()) + " 0.1 1\r\n");
     if (verb == "POST") say("POSTED " + word + " OK\r\n");
--- a/tools/standin/kernel.h
+++ b/tools/standin/kernel.h
@@ -36,6 +36,8 @@
   void set_pace(Pace pace) { pace_ = pace; }
   // The machine starts anew: what ran is gone, the cores are cold.
   void reboot();
+  // OPEN stays unanswered, as where a machine never comes up.
+  void hold_boot(bool hold) { held_ = hold; }
   // On the next links: the ends of an earlier life's runs, before BOOTED and under its high numbers.
   void tell_old_ends() { tells_old_ = true; }
 
@@ -64,7 +66,7 @@
   double speed(std::chrono::steady_clock::time_point now) const;
   Pace pace_;
   std::optional<std::chrono::steady_clock::time_point> booted_;  // none: long ago
-  bool tells_old_ = false;
+  bool tells_old_ = false, held_ = false;
   std::set<std::string> old_;                                   // begun for an earlier start of the program
   std::vector<std::pair<std::uint64_t, std::string>> history_;  // notices of this start
   bool linked_ = false;
