One that is leaving is nobody's successor

Seen by reading: the flag that a process serves stood until its lock was gone, so that two that were told to go while both lived left the door, and its backlog, to each other (Server::drain). Change: a process takes the flag back before it looks for a successor, and sets it no more. Test: Upgrade.OneThatIsLeavingIsNobodysSuccessor fails without the line (one play) and passes with it; upgrade tests 12 of 12.

--- a/src/handover/shared_table.cpp
+++ b/src/handover/shared_table.cpp
@@ -107,6 +107,8 @@
 
 void SharedTable::serves() { std::atomic_ref(head().lives[row_].serves).store(1); }
 
+void SharedTable::leaves() { std::atomic_ref(head().lives[row_].serves).store(0); }
+
 bool SharedTable::another_serves() const {
   for (std::size_t k = 0; k < Head::kLives; ++k) {
     if (k == row_) continue;
--- a/src/handover/shared_table.h
+++ b/src/handover/shared_table.h
@@ -29,6 +29,8 @@
   void never_ran(const Token& token);
   // This process can serve: others of this tile server may leave its door to it.
   void serves();
+  // It takes the door no more, whatever it still answers.
+  void leaves();
   // Another process that lives, and can serve, stands at the same door.
   bool another_serves() const;
   bool wiped() const { return wiped_; }  // what was found could not be believed
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -333,7 +333,8 @@
 void Server::carry_out(edge::HealthAnswer&& health) { listener_.deliver(health.to, health); }
 void Server::carry_out(edge::Command&& command) { link_.send(command); }
 void Server::carry_out(edge::Report&& report) {
-  if (shared_ && module_.edge().lifecycle().up()) shared_->serves();
+  const auto& life = module_.edge().lifecycle();
+  if (shared_ && life.up() && !life.stopping()) shared_->serves();
   announcer_.report(report);
 }
 void Server::carry_out(edge::CloseIdlePeers&& idle) { listener_.close_idle(idle.idle_for); }
@@ -360,6 +361,8 @@
 
 void Server::drain() {
   if (std::exchange(leaving_, true)) return;
+  // First of all no successor to anybody any more: guards against two that leave the door to each other.
+  if (shared_) shared_->leaves();
   const bool successor = shared_ && shared_->another_serves();
   module_.edge().lifecycle().stop(successor);
   const auto left = successor ? time_to_hand_over() : config_.stop;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -227,6 +227,27 @@
   EXPECT_FALSE(f.says("n0", kHandsOver));
 }
 
+// The new one is told to go while the old one is still on its way out: it leaves the door to nobody.
+TEST(Upgrade, OneThatIsLeavingIsNobodysSuccessor) {
+  Trial f;
+  f.up();
+  Caller resting(f.door());
+  EXPECT_TRUE(served(resting.ask(kTile)));  // keeps the old one from ending early
+  const auto fresh = f.upgrade();
+  f.end("n0");
+  ASSERT_TRUE(f.until([&] { return f.says("n0", kHandsOver); }, kLong));
+  f.pause(fresh);
+  f.pause("n0");  // there, whatever the machine's pace
+  Caller waits(f.door());
+  waits.tell(kTile);
+  f.end(fresh);
+  f.resume(fresh);
+  EXPECT_TRUE(served(waits.hear())) << f.log(fresh);
+  EXPECT_FALSE(f.says(fresh, kHandsOver)) << f.log(fresh);
+  f.ends_in_order(fresh);
+  f.resume("n0");
+}
+
 TEST(Upgrade, TwoInARowAndQuiescedOnTheWay) {
   Trial f;
   f.up();
