--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -83,6 +83,8 @@
   asio::co_spawn(
       executor_, [peer]() -> asio::awaitable<void> { co_await peer->run(); },
       [this, id](const std::exception_ptr&) { peers_.erase(id); });
+  // Accepted before the door closed, and come to this line after it: told as the others were.
+  if (door_closed_) peer->deliver(GoAway{});
 }
 
 // One connection less, or on its way out: first one whose work is over, then one that never spoke, then the
