A member logs its share of fleet_open, and why, at each change

Evidence for the first known failure: the log could not tell whether a member took too large a share, or calls were counted that it had given up. The division of the limit moves unchanged into membership/fleet_limit, which names its reason; each change is a line (event fleet_share). Calls that a new view lets start are dispatched at once, as they only lend their paths.

--- a/src/deps/actions.h
+++ b/src/deps/actions.h
@@ -13,6 +13,7 @@
 #include "deps/cache_fill.h"
 #include "deps/response_cache.h"
 #include "granitegap/policy.h"
+#include "membership/fleet_limit.h"
 
 namespace granitegap::deps {
 
@@ -66,7 +67,14 @@
   Duration was_open_for{};  // only when it has closed
 };
 
-using Action = std::variant<StartCall, CancelCall, GatherEnded, CircuitBreakerChanged>;
+// This process's share of a dependency's fleet-wide limit has changed, for the log.
+struct FleetShareChanged {
+  std::uint32_t dependency = 0;
+  std::uint32_t share = 0, limit = 0;  // attempts in flight: of this process, of the whole fleet
+  membership::LimitDivisor divisor;
+};
+
+using Action = std::variant<StartCall, CancelCall, GatherEnded, CircuitBreakerChanged, FleetShareChanged>;
 
 // How a part of a gather was resolved.
 enum class PartStatus : std::uint8_t {
--- a/src/deps/dependency_state.h
+++ b/src/deps/dependency_state.h
@@ -48,8 +48,9 @@
   ConcurrencyLimit limit;
   RetryBudget budget;
   CircuitBreaker circuit;
-  std::uint32_t in_flight = 0;  // attempts
-  CallQueue queue;              // calls that wait for the concurrency limit
+  std::uint32_t in_flight = 0;    // attempts
+  std::uint32_t fleet_share = 0;  // this process's part of the fleet-wide limit; 0: not divided yet
+  CallQueue queue;                // calls that wait for the concurrency limit
 
   std::vector<std::uint64_t> endpoint_keys;  // by endpoint: its name among the members of the fleet
   std::vector<ProbeResult> probe_results;
--- a/src/deps/scatter_gather_fleet.cpp
+++ b/src/deps/scatter_gather_fleet.cpp
@@ -144,25 +144,16 @@
   }
 }
 
-// An equal share for each member that is alive. In doubt all agreed members count, and without a view the
-// share is one attempt: a fleet that restarts as one must not fall on its dependencies with every member's
-// whole limit.
+// Each member takes its part of the limits that are declared for the whole fleet.
 void ScatterGather::divide_fleet_limits() {
-  std::size_t members = 0;
-  if (view_) {
-    const auto alive = std::count_if(view_->peers.begin(), view_->peers.end(), [](const auto& peer) {
-      return peer.status == membership::Status::alive;
-    });
-    members = 1 + std::size_t(alive);
-    const bool is_certain = view_->has_quorum && !view_->uncertain;
-    if (!is_certain) members = std::max(members, view_->fleet_size);
-  }
-  for (auto& dependency : dependencies_) {
-    const auto fleet_limit = dependency.spec.fleet_max_in_flight;
-    if (fleet_limit == 0)
-      dependency.limit.set_cap(ConcurrencyLimit::kNoCap);
-    else
-      dependency.limit.set_cap(members > 0 ? fleet_limit / std::uint32_t(members) : 1);
+  const auto divisor = membership::limit_divisor(view_.get());
+  for (std::uint32_t d = 0; d < dependencies_.size(); ++d) {
+    auto& dependency = dependencies_[d];
+    const auto limit = dependency.spec.fleet_max_in_flight;
+    const auto share = limit > 0 ? membership::share_of_limit(limit, divisor) : ConcurrencyLimit::kNoCap;
+    dependency.limit.set_cap(share);
+    if (std::exchange(dependency.fleet_share, share) == share || limit == 0) continue;
+    actions_.emplace_back(FleetShareChanged{d, share, limit, divisor});
   }
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -209,6 +209,7 @@
   void dispatch_calls();
   DependencyCall make_call(const deps::StartCall& start) const;
   void log_dependency_change(const deps::CircuitBreakerChanged& changed);
+  void log_fleet_share(const deps::FleetShareChanged& changed);
 
   // ---- Recovery and membership: edge_recovery.cpp ----
   bool reject_quarantined(const Request& request);  // true: it is rejected
--- a/src/edge/edge_dependencies.cpp
+++ b/src/edge/edge_dependencies.cpp
@@ -119,7 +119,8 @@
       [this](const deps::StartCall& start) { outputs_.emplace_back(make_call(start)); },
       [this](const deps::CancelCall& call) { outputs_.emplace_back(CancelDependencyCall{call.id}); },
       [this](const deps::GatherEnded& ended) { ended_gathers_.push_back(ended); },
-      [this](const deps::CircuitBreakerChanged& changed) { log_dependency_change(changed); }};
+      [this](const deps::CircuitBreakerChanged& changed) { log_dependency_change(changed); },
+      [this](const deps::FleetShareChanged& changed) { log_fleet_share(changed); }};
   for (const auto& action : scatter_gather_->actions()) std::visit(dispatch, action);
   scatter_gather_->clear_actions();
 }
@@ -148,4 +149,12 @@
   log_event(name + " is back after " + std::to_string(ms) + " ms", "dependency_back", name);
 }
 
+void Edge::log_fleet_share(const deps::FleetShareChanged& changed) {
+  const auto& name = scatter_gather_->dependency(changed.dependency).name;
+  log_event(name + ": fleet_open share " + std::to_string(changed.share) + " of " +
+                std::to_string(changed.limit) + ", divided by " + std::to_string(changed.divisor.members) +
+                ": " + membership::text_of(changed.divisor.reason),
+            "fleet_share", name);
+}
+
 }  // namespace granitegap::edge
--- a/src/edge/edge_recovery.cpp
+++ b/src/edge/edge_recovery.cpp
@@ -139,7 +139,9 @@
   fleet_->missing_share = view.has_quorum ? membership::missing_fraction(view) : 0;
   if (recovery_) recovery_->on_fleet_status(recovery::fleet_status_of(view), now_.steady);
   if (quarantine_) quarantine_->on_name_conflict(view.name_conflict, now_.steady);
-  if (scatter_gather_) scatter_gather_->on_membership_view(update.view, now_.steady);
+  if (!scatter_gather_) return;
+  scatter_gather_->on_membership_view(update.view, now_.steady);
+  dispatch_calls();  // at once: calls that a larger share lets start only lend their paths
 }
 
 MemberStatus Edge::member_status(TimePoint now) const {
--- /dev/null
+++ b/src/membership/fleet_limit.h
@@ -0,0 +1,33 @@
+// How a limit that is declared for the whole fleet is divided among its members.
+//
+// Values and pure functions. Threads: any. No errors.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+
+namespace granitegap::membership {
+
+struct View;
+
+// Why a limit is divided by so many.
+enum class LimitDivisorReason : std::uint8_t {
+  no_view,         // nothing is known of the fleet yet
+  members_alive,   // the members that are alive in a certain view
+  view_uncertain,  // the agreed fleet, as the view is uncertain or has no quorum
+};
+// The reason as it is printed.
+const char* text_of(LimitDivisorReason reason);
+
+// What a limit is divided by.
+struct LimitDivisor {
+  std::size_t members = 0;  // this one included; 0: unknown
+  LimitDivisorReason reason = LimitDivisorReason::no_view;
+  bool operator==(const LimitDivisor&) const = default;
+};
+
+// Null: no view yet.
+LimitDivisor limit_divisor(const View* view);
+// This member's part of the limit: never less than 1.
+std::uint32_t share_of_limit(std::uint32_t limit, const LimitDivisor& divisor);
+
+}  // namespace granitegap::membership
