granitegap_soak: seeded faults against fleets of real processes, judged by counters outside

Scenarios return (members killed, terminated, stopped, started) and loss (datagrams lost, cuts, short stops), under callers that never pause, on a machine that the seed may load. Judged: calls open at the dependency over fleet_open (until the answer, or until the caller closed its connection: the stand-in counts that now), requests without an answer, members that lived and were declared dead, views that don't converge, members that serve nobody. Fleets of one program get loopback addresses of their own, so that plays run side by side.

Scenarios end and dependency are not built.

--- /dev/null
+++ b/bench/soak/report.cpp
@@ -0,0 +1,40 @@
+#include "report.h"
+
+namespace granitegap::soak {
+
+const char* text_of(Rule rule) {
+  switch (rule) {
+    case Rule::fleet_limit_exceeded:
+      return "fleet_limit_exceeded";
+    case Rule::request_unanswered:
+      return "request_unanswered";
+    case Rule::member_held_dead:
+      return "member_held_dead";
+    case Rule::not_converged:
+      return "not_converged";
+    case Rule::member_serves_nobody:
+      return "member_serves_nobody";
+  }
+  return "unknown";
+}
+
+nlohmann::ordered_json to_json(const SeedReport& report) {
+  nlohmann::ordered_json out{{"scenario", report.scenario}, {"seed", report.seed}, {"play", report.play}};
+  out["violations"] = nlohmann::ordered_json::array();
+  for (const auto& violation : report.violations)
+    out["violations"].push_back({{"rule", text_of(violation.rule)}, {"detail", violation.detail}});
+  out["figures"] = report.figures;
+  if (!report.logs.empty()) out["logs"] = report.logs;
+  return out;
+}
+
+std::string to_text(const SeedReport& report) {
+  auto text = report.scenario + " seed " + std::to_string(report.seed) + ": " + report.play + ": " +
+              (report.violations.empty() ? "ok" : "FAULTY") + " " + report.figures.dump() + "\n";
+  for (const auto& violation : report.violations)
+    text += std::string("  ") + text_of(violation.rule) + ": " + violation.detail + "\n";
+  if (!report.logs.empty()) text += "  logs: " + report.logs + "\n";
+  return text;
+}
+
+}  // namespace granitegap::soak
--- a/tools/fleet/process_fleet.cpp
+++ b/tools/fleet/process_fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/process_fleet.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +26,7 @@
 
 constexpr auto kPollInterval = 20ms;  // between two looks at a condition
 constexpr std::size_t kDescribedLogBytes = 1000;
+constexpr std::size_t kAddressesPerFleet = 16, kConcurrentFleets = 15;
 constexpr std::uint64_t kSeedStride = 1000003;
 
 void write_file(const std::filesystem::path& path, const std::string& text) {
@@ -39,6 +41,12 @@
   return digits == std::string::npos ? 0 : std::stoul(name.substr(digits));
 }
 
+// Fleets of one program that run at the same time have addresses of their own.
+std::size_t next_first_number() {
+  static std::atomic<std::size_t> fleets{0};
+  return kAddressesPerFleet * (fleets++ % kConcurrentFleets);
+}
+
 struct PipeCloser {
   void operator()(std::FILE* pipe) const { ::pclose(pipe); }
 };
@@ -63,6 +71,7 @@
 
 ProcessFleet::ProcessFleet(ProcessFleetOptions options)
     : options_(std::move(options)),
+      first_number_(next_first_number()),
       work_(asio::make_work_guard(io_)),
       load_reports_(io_, udp::endpoint(asio::ip::address_v4::loopback(), 0)),
       network_(std::make_unique<standin::Network>(io_, options_.seed)) {
@@ -96,14 +105,15 @@
   Process process;
   process.name = name;
   process.alias = alias;
-  const auto address = options_.ipv6 ? asio::ip::address_v6::loopback() : loopback_address(number);
+  const auto address_number = first_number_ + number;
+  const auto address = options_.ipv6 ? asio::ip::address_v6::loopback() : loopback_address(address_number);
   // Kept until the network has its own port, so that both can't get the same.
-  auto reserved = reserve_port(io_, address, number);
+  auto reserved = reserve_port(io_, address, address_number);
   process.bound = reserved.local_endpoint();
   process.advertised = options_.ipv6 ? process.bound : network_->add(alias, process.bound);
   reserved.close();
   if (options_.secondary_paths)
-    process.secondary = reserve_port(io_, asio::ip::address_v6::loopback(), number).local_endpoint();
+    process.secondary = reserve_port(io_, asio::ip::address_v6::loopback(), address_number).local_endpoint();
   const auto cost = options_.run_cost;
   process.kernel =
       std::make_unique<standin::Kernel>(io_, options_.cores, [cost](auto&, auto&) { return cost; });
--- a/tools/fleet/process_fleet.h
+++ b/tools/fleet/process_fleet.h
@@ -173,6 +173,7 @@
   auto on_io(F f) const;
 
   ProcessFleetOptions options_;
+  std::size_t first_number_;  // of its processes' loopback addresses
   standin::TemporaryDirectory folder_{"granitegap_fleet_"};
   mutable boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
--- a/tools/standin/dependency.h
+++ b/tools/standin/dependency.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -22,8 +23,12 @@
   // What the dependency has received.
   struct Counters {
     std::vector<Duration> arrivals;      // of requests, since the script's start
-    std::size_t open = 0, max_open = 0;  // requests in flight
+    std::size_t open = 0, max_open = 0;  // requests in flight, until they are answered
+    // Requests in flight whose client still waits: until the answer, or until it closed its connection.
+    std::size_t awaited = 0, max_awaited = 0;
   };
+  // Called on the dependency's thread with each change of Counters::awaited.
+  using AwaitedCallback = std::function<void(std::size_t awaited)>;
 
   // Listens on each port, an endpoint of the script each; 0: any free port. `start`: when the script begins.
   Dependency(boost::asio::io_context& io, Script script, std::uint64_t seed,
@@ -31,11 +36,13 @@
   // From now on, bodies begin with a line: milliseconds since the script's start, a space, the request's
   // path.
   void prefix_bodies_with_arrival();
+  void on_awaited_changed(AwaitedCallback callback);
   std::uint16_t port(std::size_t endpoint) const { return listeners_[endpoint]->local_endpoint().port(); }
   const Counters& counters() const;
 
  private:
   struct State;
+  class AwaitedResponse;
   class Connection;
   boost::asio::awaitable<void> accept(std::size_t endpoint);
 
