Shares of fleet_open fit into it whatever each member has seen of the fleet

Cause, by the share lines in the logs: each member divided the limit by the members that it held alive at that moment. A process that starts sees itself alone ('share 6 of 6, divided by 1'); a suspect counted as gone; whoever raised its share did not wait for those that had to lower theirs; a majority shared out what a cut-off minority still used.

Why this mend holds: LimitHolders counts all that may be running (alive, suspect, dead of the quorum base, seeds unheard), goes up at once and down only after ten periods; who has just started, stood still for long or has long seen no majority is unsettled and makes one call at a time; one call each is kept back for members that a majority removed. Where a count is wrong, it is too large.

--- a/src/membership/fleet_limit.cpp
+++ b/src/membership/fleet_limit.cpp
@@ -10,8 +10,12 @@
   switch (reason) {
     case LimitDivisorReason::no_view:
       return "no view of the fleet yet";
+    case LimitDivisorReason::unsettled:
+      return "the fleet is not settled yet";
     case LimitDivisorReason::members_alive:
       return "members alive";
+    case LimitDivisorReason::members_gone:
+      return "members alive, and gone ones that may still run";
     case LimitDivisorReason::view_uncertain:
       return "view uncertain";
   }
@@ -20,17 +24,26 @@
 
 LimitDivisor limit_divisor(const View* view) {
   if (!view) return {};
+  if (!view->limit_holders) return {0, 0, LimitDivisorReason::unsettled};
   const auto alive = std::count_if(view->peers.begin(), view->peers.end(),
                                    [](const View::Peer& peer) { return peer.status == Status::alive; });
-  const auto members = 1 + std::size_t(alive);
+  LimitDivisor divisor{1 + std::size_t(alive), view->limit_reserved, LimitDivisorReason::members_alive};
+  if (*view->limit_holders > divisor.members) {
+    divisor.members = *view->limit_holders;
+    divisor.reason = LimitDivisorReason::members_gone;
+  }
   const bool is_certain = view->has_quorum && !view->uncertain;
-  if (is_certain) return {members, LimitDivisorReason::members_alive};
-  return {std::max(members, view->fleet_size), LimitDivisorReason::view_uncertain};
+  if (!is_certain) {
+    divisor.members = std::max(divisor.members, view->fleet_size);
+    divisor.reason = LimitDivisorReason::view_uncertain;
+  }
+  return divisor;
 }
 
 std::uint32_t share_of_limit(std::uint32_t limit, const LimitDivisor& divisor) {
   if (divisor.members == 0) return 1;
-  return std::max(limit / std::uint32_t(divisor.members), 1u);
+  const auto shared = limit - std::min(limit, std::uint32_t(divisor.reserved));
+  return std::max(shared / std::uint32_t(divisor.members), 1u);
 }
 
 }  // namespace granitegap::membership
--- a/src/membership/fleet_limit.h
+++ b/src/membership/fleet_limit.h
@@ -12,7 +12,9 @@
 // Why a limit is divided by so many.
 enum class LimitDivisorReason : std::uint8_t {
   no_view,         // nothing is known of the fleet yet
-  members_alive,   // the members that are alive in a certain view
+  unsettled,       // started, cut off or stopped not long ago: others may be there
+  members_alive,   // the members that are alive
+  members_gone,    // and such that are not, but may still run
   view_uncertain,  // the agreed fleet, as the view is uncertain or has no quorum
 };
 // The reason as it is printed.
@@ -20,7 +22,8 @@
 
 // What a limit is divided by.
 struct LimitDivisor {
-  std::size_t members = 0;  // this one included; 0: unknown
+  std::size_t members = 0;   // this one included; 0: unknown
+  std::size_t reserved = 0;  // attempts kept back for members that were removed and may still run
   LimitDivisorReason reason = LimitDivisorReason::no_view;
   bool operator==(const LimitDivisor&) const = default;
 };
--- /dev/null
+++ b/src/membership/limit_holders.h
@@ -0,0 +1,53 @@
+// How many members may be using their share of a limit that is declared for the whole fleet.
+//
+// The shares of all processes must never add up to more than the limit, whatever each of them has seen. So
+// the count goes up at once, and comes down only after it could have come down for settle_time():
+//
+//   started, stopped for long, or long without a quorum ---> unsettled: nothing may be concluded
+//   unsettled, or fewer members, for settle_time() --------> the most that were counted meanwhile
+//   more members ------------------------------------------> those, at once
+//
+// A member that was declared dead may be cut off and still run. It is counted as long as it is in the quorum
+// base, and gives its share up itself once it has been without a quorum for half of that time.
+//
+// Threads: one. No errors.
+#pragma once
+#include <cstddef>
+#include <optional>
+
+#include "membership/options.h"
+
+namespace granitegap::membership {
+
+class LimitHolders {
+ public:
+  // `options` must outlive it, and may change.
+  explicit LimitHolders(const Options& options) : options_(options) {}
+
+  // Brings the count up to date; to be called once a period. `members`: those that may be running, this one
+  // included. Returns whether the count has changed.
+  bool update(TimePoint now, std::size_t members, bool has_quorum);
+  // The process stood still for so long: others may have removed it from the quorum base meanwhile.
+  void on_pause(Duration pause);
+
+  // Absent while unsettled.
+  std::optional<std::size_t> count() const { return count_; }
+
+  Duration settle_time() const { return kSettlePeriods * options_.period; }
+  // Half of the time after which the others no longer count a member that is gone.
+  Duration trust_time() const { return options_.quorum_shrink_delay / 2; }
+
+ private:
+  // Gossip reaches every member of a fleet within a few periods, also where some datagrams are lost.
+  static constexpr int kSettlePeriods = 10;
+
+  void restart_window(TimePoint now, std::size_t members);
+
+  const Options& options_;
+  std::optional<std::size_t> count_;
+  std::optional<TimePoint> window_began_at_;  // of fewer members than count_
+  std::size_t window_max_ = 0;                // the most members counted in it
+  std::optional<TimePoint> quorum_lost_at_;
+};
+
+}  // namespace granitegap::membership
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -17,6 +17,7 @@
       roster_(options_),
       local_health_(options_, now),
       partition_detector_(options_),
+      limit_holders_(options_),
       next_sync_at_(now),
       last_rejoin_sync_at_(now) {
   metadata_.version = 1;
@@ -71,6 +72,7 @@
   probes_.clear();
   relays_.clear();
   partition_detector_.discard_silences();
+  limit_holders_.on_pause(late);
   for (const auto i : suspects_) roster_.at(i).suspicion_deadline += late;
   next_period_at_ = std::max(next_period_at_, now_);
 }
@@ -124,6 +126,7 @@
   update_health();
   prune_roster();
   admit_to_quorum_base();
+  update_limit_holders();
   expire_name_conflict();
   if (leave_.started) return;
   contact_absent();
@@ -147,6 +150,42 @@
     if (roster_.is_present(i)) roster_.set_counts_for_quorum(i, true);
 }
 
+// ---- Holders of shares of fleet-wide limits ----
+
+void Member::update_limit_holders() {
+  if (limit_holders_.update(now_, members_that_may_run(), partition_detector_.has_quorum()))
+    notify(ChangeKind::limit_holders, self_.name, true);
+}
+
+// A suspect runs until the contrary is shown. A dead member may be cut off, and is counted as long as the
+// fleet is held to be so large.
+std::size_t Member::members_that_may_run() const {
+  std::size_t gone = 0;
+  for (const auto i : roster_.tombstones())
+    if (roster_.at(i).known && roster_.at(i).counts_for_quorum) ++gone;
+  const auto members = 1 + roster_.present() + gone + unheard_seeds();
+  return std::max(members, options_.min_fleet_size);
+}
+
+// Seeds of which nothing was heard since the start, for as long as a dead member would count.
+std::size_t Member::unheard_seeds() const {
+  if (now_ - started_at_ >= options_.quorum_shrink_delay) return 0;
+  const auto absent = absent_seeds();
+  return std::size_t(std::count_if(absent.begin(), absent.end(), [this](const Address& seed) {
+    const auto& tombstones = roster_.tombstones();
+    return std::none_of(tombstones.begin(), tombstones.end(),
+                        [&](Index i) { return roster_.at(i).known && roster_.at(i).address == seed; });
+  }));
+}
+
+std::size_t Member::removed_members() const {
+  const auto& tombstones = roster_.tombstones();
+  return std::size_t(std::count_if(tombstones.begin(), tombstones.end(), [this](Index i) {
+    const auto& e = roster_.at(i);
+    return e.known && e.status == Status::dead && !e.counts_for_quorum;
+  }));
+}
+
 void Member::start_period_probes() {
   if (const auto target = next_in_round(); target != kNoMember) start_probe(target);
   start_extra_probes();
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -41,6 +41,7 @@
 
 #include "membership/digest.h"
 #include "membership/dissemination_queue.h"
+#include "membership/limit_holders.h"
 #include "membership/local_health.h"
 #include "membership/partition_detector.h"
 #include "membership/roster.h"
@@ -79,7 +80,8 @@
   local_connectivity,  // of this member
   view_certainty,      // the view became uncertain, or certain again
   quorum,              // this member gained or lost the quorum
-  name_conflict        // another process uses this member's name, or no longer does
+  name_conflict,       // another process uses this member's name, or no longer does
+  limit_holders        // Member::limit_holders() has changed
 };
 
 // One change of the view.
@@ -150,6 +152,10 @@
   bool has_quorum() const { return partition_detector_.has_quorum(); }
   // The number of members that a quorum is counted of, this one included.
   std::size_t fleet_size() const { return std::max(roster_.quorum_base() + 1, options_.min_fleet_size); }
+  // Members that may hold a share of fleet-wide limits, this one included; absent while that is unsettled.
+  std::optional<std::size_t> limit_holders() const { return limit_holders_.count(); }
+  // Dead members that no longer count for the fleet, but are remembered: each may still run, cut off.
+  std::size_t removed_members() const;
   // Of another process that uses this member's name, where there is one.
   const std::optional<Address>& conflicting_address() const { return conflict_.address; }
   // Lifeguard's local health multiplier.
@@ -227,6 +233,9 @@
   void run_period();
   void prune_roster();
   void admit_to_quorum_base();
+  void update_limit_holders();
+  std::size_t members_that_may_run() const;
+  std::size_t unheard_seeds() const;
   void start_period_probes();
   void update_health();
   void on_connectivity_changed();
@@ -342,6 +351,7 @@
   Roster roster_;
   LocalHealth local_health_;
   PartitionDetector partition_detector_;
+  LimitHolders limit_holders_;
   DisseminationQueue dissemination_queue_;
   std::vector<Probe> probes_;
   std::vector<IndirectProbe> relays_;
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -47,6 +47,8 @@
   v.uncertain = member.uncertain();
   v.local_connectivity = member.local_connectivity();
   v.name_conflict = member.conflicting_address().has_value();
+  v.limit_holders = member.limit_holders();
+  v.limit_reserved = member.removed_members();
   v.at = now;
   return v;
 }
--- a/src/membership/views.h
+++ b/src/membership/views.h
@@ -5,6 +5,7 @@
 // status, and act on nothing without a quorum.
 #pragma once
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,10 @@
   bool has_quorum = true, uncertain = false;
   LocalConnectivity local_connectivity = LocalConnectivity::ok;
   bool name_conflict = false;  // another process uses this member's name
+  // Of fleet-wide limits (fleet_limit.h): members that may hold a share, present or not, absent while that is
+  // unsettled; and members removed from the fleet that may still make one call at a time.
+  std::optional<std::size_t> limit_holders = 0;
+  std::size_t limit_reserved = 0;
   TimePoint at{};
 };
 View make_view(const Member& member, TimePoint now);
--- a/src/membership_udp/actor.cpp
+++ b/src/membership_udp/actor.cpp
@@ -189,6 +189,7 @@
       return line(c.name + " has left", "member_left");
     case ChangeKind::removed:
     case ChangeKind::metadata_updated:
+    case ChangeKind::limit_holders:
       return;
     case ChangeKind::link_broken:
       if (i != kNoMember)
