Nobody is declared dead on a quorum that was counted before others fell silent

Cause: certainty and quorum were counted once a period, suspicions are judged at every wake-up.

Why this mend holds: both are counted anew before a suspicion that has run out is judged, so that the decision rests on what is known then.

--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -200,6 +200,12 @@
   const auto connectivity = local_health_.local_connectivity();
   if (std::exchange(previous_connectivity_, connectivity) != connectivity) on_connectivity_changed();
 
+  update_certainty();
+}
+
+// Certainty and quorum follow from what is known now, whenever something is decided by them.
+void Member::update_certainty() {
+  const auto connectivity = local_health_.local_connectivity();
   const bool cut_off = connectivity != LocalConnectivity::ok || conflict_.yielded;
   const auto settle_time = 2 * options_.period * std::min(local_health_.multiplier(), 3u);
   partition_detector_.update(now_, {roster_.quorum_base() + 1, roster_.quorum_base_alive() + 1}, cut_off,
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -238,6 +238,7 @@
   std::size_t unheard_seeds() const;
   void start_period_probes();
   void update_health();
+  void update_certainty();
   void on_connectivity_changed();
   void on_certainty_changed();
   void notify(ChangeKind kind, const std::string& name, bool detected_locally = false);
--- a/src/membership/member_suspicion.cpp
+++ b/src/membership/member_suspicion.cpp
@@ -34,6 +34,11 @@
 void Member::judge_suspects() {
   std::erase_if(suspects_,
                 [&](Index i) { return !roster_.at(i).known || roster_.at(i).status != Status::suspect; });
+  const bool some_due = std::any_of(suspects_.begin(), suspects_.end(),
+                                    [&](Index i) { return now_ >= roster_.at(i).suspicion_deadline; });
+  if (!some_due) return;
+  // Others may have fallen silent since the period began: without a quorum by now nobody is declared dead.
+  if (!options_.baseline_mode) update_certainty();
   if (!may_declare_dead()) return;
   const auto suspects = suspects_;
   for (const auto i : suspects) {
--- a/tests/membership_partition_test.cpp
+++ b/tests/membership_partition_test.cpp
@@ -87,6 +87,26 @@
   EXPECT_TRUE(f.run_until([&] { return f.has_converged(); }, 10s));
 }
 
+// In thirds nobody has a quorum, and nobody may be declared dead. A member fell silent, and its suspicion ran
+// out, while the quorum that had been counted at the beginning of the period was gone already:
+// `n7 declares n5: base 18 alive 8 quorum 1`, 64 ms before n7 noticed that it had none (seed 101; 8 of 200
+// seeds). Since then certainty and quorum are counted anew before anybody is declared dead.
+struct ThirdsOnSeeds : testing::TestWithParam<std::uint64_t> {
+  static constexpr std::uint64_t kSeedsPerCase = 20;
+};
+TEST_P(ThirdsOnSeeds, DeclareNobodyDead) {
+  for (std::uint64_t k = 0; k < kSeedsPerCase; ++k) {
+    const auto seed = GetParam() + k;
+    Fleet f(18, seed);
+    f.form();
+    f.cut(f.names(0, 6), f.names(6, 18));
+    f.cut(f.names(6, 12), f.names(12, 18));
+    f.run_for(30s);
+    EXPECT_TRUE(f.declared_dead_by.empty()) << "seed " << seed;
+  }
+}
+INSTANTIATE_TEST_SUITE_P(From, ThirdsOnSeeds, testing::Values(1, 21, 41, 61, 81, 101, 121, 141, 161, 181));
+
 TEST(Partition, ThirdsDeclareNobodyDeadAndRejoin) {
   Fleet f(18);
   f.form();
