A joiner contacts members that don't know it until they do

The fleet neither counts it nor sends anybody to it.

Cause: it is known only after its address was verified. When a datagram of that exchange is lost, its later pings are too short: nobody answers an unknown address with more bytes than came from it, so no second verification starts. Padded first contacts went only to seeds, and only while it knew nobody.

--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -304,6 +304,8 @@
   void contact_absent();
   void contact_dead();
 
+  void announce_to_unaware();
+
   // ---- member_sync.cpp ----
   void request_due_sync();
   void request_sync(Index with);
@@ -369,8 +371,8 @@
   std::vector<Address> join_addresses_;
   TimePoint next_sync_at_, last_rejoin_sync_at_, refuted_at_, refutation_sent_at_, load_published_at_;
   Index last_sender_ = kNoMember;
-  bool joined_ = false;           // a complete sync has come in
-  unsigned syncs_requested_ = 0;  // since the start
+  bool joined_ = false;  // a complete sync has come in
+  unsigned syncs_requested_ = 0;                 // since the start
   bool was_uncertain_ = false, had_quorum_ = true;
   LocalConnectivity previous_connectivity_ = LocalConnectivity::ok;
   NameConflictState conflict_;
--- a/src/membership/member_join.cpp
+++ b/src/membership/member_join.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned kContactAbsentEvery = 4;        // periods
 constexpr std::size_t kFirstContactBytes = 1100;   // of a ping to an address that may not know this member
 constexpr std::size_t kMaxContactsWhileAlone = 3;  // a period
+constexpr std::size_t kMaxAnnouncements = 8;       // a period
 
 }  // namespace
 
@@ -134,4 +135,24 @@
   if (unverified_peers_.size() < kMaxUnverifiedPeers) unverified_peers_.push_back(std::move(peer));
 }
 
+// ---- Being known to the others ----
+
+// A process that knows the others need not be known to them: the datagrams that verify its address may be
+// lost. Until each has answered it as a member it contacts them again, padded as at first, so that they may
+// verify it.
+void Member::announce_to_unaware() {
+  std::size_t announced = 0;
+  for (auto i = roster_.oldest_contact(); i != kNoMember && announced < kMaxAnnouncements;
+       i = roster_.next_contact(i)) {
+    const auto& e = roster_.at(i);
+    if (e.knows_this_process) continue;
+    SendOptions options;
+    options.about = i;
+    options.without_gossip = true;
+    options.pad_to = kFirstContactBytes;
+    send(e.address, Ping{nonce(), e.name, {}}, std::move(options));
+    ++announced;
+  }
+}
+
 }  // namespace granitegap::membership
--- a/src/membership/member_receive.cpp
+++ b/src/membership/member_receive.cpp
@@ -119,6 +119,7 @@
 
 void Member::handle(const Ack& ack, const Datagram& d, Index from) {
   if (std::erase(leave_.nonces, ack.nonce)) ++leave_.acks;
+  if (ack.heard_ms != kNeverHeard) roster_.at(from).knows_this_process = true;
   const auto probe = std::find_if(probes_.begin(), probes_.end(),
                                   [&](const Probe& p) { return p.nonce == ack.nonce && p.target == from; });
   if (probe != probes_.end()) return on_probe_acked(probe, ack);
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -142,6 +142,7 @@
   e.incarnation = r.incarnation;
   e.address = r.address;
   e.metadata = r.metadata.value_or(MemberMetadata{});
+  e.knows_this_process = false;
   e.round_trip = {};
   e.clock_offset_ms = 0;
   e.last_timely_at = {};
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -29,6 +29,7 @@
   bool known = false;                     // false: the slot is free
   bool counts_for_quorum = false;         // in the quorum base
   bool reachable = true;                  // the last probe of it was answered, directly or indirectly
+  bool knows_this_process = false;        // it answered this process as a member that it knows
   bool final_probe_sent = false;          // of a suspect: the last probe before it is declared dead
   std::uint8_t link_fault_count = 0;      // probes in a row that found the same direction broken
   bool link_inbound = false;              // that direction: true where its datagrams don't arrive here
--- a/tests/membership_lifecycle_test.cpp
+++ b/tests/membership_lifecycle_test.cpp
@@ -108,5 +108,20 @@
   EXPECT_EQ(m.metadata().version, version + 2);
 }
 
+// A process joins while datagrams are lost: it knew the others, but those that verify its own address were
+// lost, and its later pings were too short to be answered by another try. Nobody knew it for as long as it
+// lived.
+TEST(Lifecycle, AJoinerBecomesKnownThoughItsVerificationIsLost) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Fleet f(5, seed);
+    for (std::size_t n = 0; n < 4; ++n) f.start(n);
+    f.run_for(10s);
+    f.loss(0.3);
+    f.start(4);
+    f.run_for(20s);
+    for (std::size_t n = 0; n < 4; ++n) EXPECT_TRUE(f.status_of(n, 4)) << "seed " << seed << " n" << n;
+  }
+}
+
 }  // namespace
 }  // namespace granitegap::membership
