A process takes no share of fleet_open before the others know it

Cause: the joiner made its first call at once; the others lower their shares only when they hear of it, and their open calls end later still.

Why this mend holds: a joiner takes nothing until every member that it knows has answered it as one that it knows, and one period more, in which the calls over their lowered shares end. Its calls are queued meanwhile, within their budgets.

--- a/src/deps/dependency_state.h
+++ b/src/deps/dependency_state.h
@@ -4,6 +4,7 @@
 // Used by one thread, without clock or I/O.
 #pragma once
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "deps/call_table.h"
@@ -41,16 +42,18 @@
   // Results older than this are not gossiped.
   Duration probe_result_lifetime() const { return kProbeResultIntervals * spec.max_probe_interval; }
 
-  bool has_free_slot() const { return in_flight < limit.limit(); }
+  bool has_free_slot() const { return fleet_share != 0u && in_flight < limit.limit(); }
 
   DependencySpec spec;
   EndpointSet endpoints;
   ConcurrencyLimit limit;
   RetryBudget budget;
   CircuitBreaker circuit;
-  std::uint32_t in_flight = 0;    // attempts
-  std::uint32_t fleet_share = 0;  // this process's part of the fleet-wide limit; 0: not divided yet
-  CallQueue queue;                // calls that wait for the concurrency limit
+  std::uint32_t in_flight = 0;  // attempts
+  // This process's part of the fleet-wide limit; kNoCap where there is no such limit. Absent before the first
+  // division.
+  std::optional<std::uint32_t> fleet_share;
+  CallQueue queue;  // calls that wait for the concurrency limit
 
   std::vector<std::uint64_t> endpoint_keys;  // by endpoint: its name among the members of the fleet
   std::vector<ProbeResult> probe_results;
--- a/src/membership/fleet_limit.cpp
+++ b/src/membership/fleet_limit.cpp
@@ -10,6 +10,8 @@
   switch (reason) {
     case LimitDivisorReason::no_view:
       return "no view of the fleet yet";
+    case LimitDivisorReason::not_admitted:
+      return "the others have not all heard of this process yet";
     case LimitDivisorReason::unsettled:
       return "the fleet is not settled yet";
     case LimitDivisorReason::members_alive:
@@ -24,6 +26,7 @@
 
 LimitDivisor limit_divisor(const View* view) {
   if (!view) return {};
+  if (!view->limit_admitted) return {0, 0, LimitDivisorReason::not_admitted};
   if (!view->limit_holders) return {0, 0, LimitDivisorReason::unsettled};
   const auto alive = std::count_if(view->peers.begin(), view->peers.end(),
                                    [](const View::Peer& peer) { return peer.status == Status::alive; });
@@ -41,6 +44,7 @@
 }
 
 std::uint32_t share_of_limit(std::uint32_t limit, const LimitDivisor& divisor) {
+  if (divisor.reason == LimitDivisorReason::not_admitted) return 0;
   if (divisor.members == 0) return 1;
   const auto shared = limit - std::min(limit, std::uint32_t(divisor.reserved));
   return std::max(shared / std::uint32_t(divisor.members), 1u);
--- a/src/membership/fleet_limit.h
+++ b/src/membership/fleet_limit.h
@@ -12,6 +12,7 @@
 // Why a limit is divided by so many.
 enum class LimitDivisorReason : std::uint8_t {
   no_view,         // nothing is known of the fleet yet
+  not_admitted,    // the others have not all heard of this process: it takes nothing
   unsettled,       // started, cut off or stopped not long ago: others may be there
   members_alive,   // the members that are alive
   members_gone,    // and such that are not, but may still run
@@ -30,7 +31,7 @@
 
 // Null: no view yet.
 LimitDivisor limit_divisor(const View* view);
-// This member's part of the limit: never less than 1.
+// This member's part of the limit: never less than 1, but 0 for one that is not admitted.
 std::uint32_t share_of_limit(std::uint32_t limit, const LimitDivisor& divisor);
 
 }  // namespace granitegap::membership
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -130,7 +130,7 @@
   expire_name_conflict();
   if (leave_.started) return;
   contact_absent();
-  if (now_ - started_at_ < limit_holders_.settle_time()) announce_to_unaware();
+  if (!limit_admitted_) announce_to_unaware();
   start_period_probes();
   request_due_sync();
 }
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -81,7 +81,7 @@
   view_certainty,      // the view became uncertain, or certain again
   quorum,              // this member gained or lost the quorum
   name_conflict,       // another process uses this member's name, or no longer does
-  limit_holders        // Member::limit_holders() has changed
+  limit_holders        // Member::limit_holders() or limit_admitted() has changed
 };
 
 // One change of the view.
@@ -152,6 +152,8 @@
   bool has_quorum() const { return partition_detector_.has_quorum(); }
   // The number of members that a quorum is counted of, this one included.
   std::size_t fleet_size() const { return std::max(roster_.quorum_base() + 1, options_.min_fleet_size); }
+  // Whether the others have heard of this process, so that it may take a share of fleet-wide limits.
+  bool limit_admitted() const { return limit_admitted_; }
   // Members that may hold a share of fleet-wide limits, this one included; absent while that is unsettled.
   std::optional<std::size_t> limit_holders() const { return limit_holders_.count(); }
   // Dead members that no longer count for the fleet, but are remembered: each may still run, cut off.
@@ -305,6 +307,7 @@
   void contact_dead();
 
   void announce_to_unaware();
+  bool may_be_admitted();
 
   // ---- member_sync.cpp ----
   void request_due_sync();
@@ -372,6 +375,8 @@
   TimePoint next_sync_at_, last_rejoin_sync_at_, refuted_at_, refutation_sent_at_, load_published_at_;
   Index last_sender_ = kNoMember;
   bool joined_ = false;  // a complete sync has come in
+  bool limit_admitted_ = false;
+  std::optional<TimePoint> known_to_all_since_;  // only before limit_admitted_
   unsigned syncs_requested_ = 0;                 // since the start
   bool was_uncertain_ = false, had_quorum_ = true;
   LocalConnectivity previous_connectivity_ = LocalConnectivity::ok;
--- a/src/membership/member_join.cpp
+++ b/src/membership/member_join.cpp
@@ -1,5 +1,5 @@
-// Peers that are not verified yet, and contact with seeds and dead members: how a process joins, and how the
-// sides of a healed partition find each other.
+// Peers that are not verified yet, and contact with seeds and dead members: how a process joins, when it may
+// take its share of fleet-wide limits, and how the sides of a healed partition find each other.
 #include <algorithm>
 
 #include "membership/member.h"
@@ -12,6 +12,7 @@
 constexpr std::size_t kFirstContactBytes = 1100;   // of a ping to an address that may not know this member
 constexpr std::size_t kMaxContactsWhileAlone = 3;  // a period
 constexpr std::size_t kMaxAnnouncements = 8;       // a period
+constexpr int kAloneFor = 4;  // periods without an answer of any seed, after which nobody is expected
 
 }  // namespace
 
@@ -153,6 +154,31 @@
     send(e.address, Ping{nonce(), e.name, {}}, std::move(options));
     ++announced;
   }
+  if (!may_be_admitted()) return;
+  limit_admitted_ = true;
+  notify(ChangeKind::limit_holders, self_.name, true);
+}
+
+// The others divide fleet-wide limits among those that they know. This process takes its share one period
+// after all know it: their own shares are lower by then, and the calls over them have ended. Some that can't
+// answer hold it up no longer than views take to settle.
+bool Member::may_be_admitted() {
+  const auto lived = now_ - started_at_;
+  if (roster_.present() == 0) return unheard_seeds() == 0 || lived >= kAloneFor * options_.period;
+  bool known_to_all = joined_;
+  bool known_to_any = false;
+  for (auto i = roster_.oldest_contact(); i != kNoMember; i = roster_.next_contact(i)) {
+    const bool is_aware = roster_.at(i).knows_this_process;
+    known_to_all = known_to_all && is_aware;
+    known_to_any = known_to_any || is_aware;
+  }
+  if (known_to_any && lived >= limit_holders_.settle_time()) return true;
+  if (!known_to_all) {
+    known_to_all_since_.reset();
+    return false;
+  }
+  if (!known_to_all_since_) known_to_all_since_ = now_;
+  return now_ - *known_to_all_since_ >= options_.period;
 }
 
 }  // namespace granitegap::membership
--- a/src/membership/views.cpp
+++ b/src/membership/views.cpp
@@ -48,6 +48,7 @@
   v.local_connectivity = member.local_connectivity();
   v.name_conflict = member.conflicting_address().has_value();
   v.limit_holders = member.limit_holders();
+  v.limit_admitted = member.limit_admitted();
   v.limit_reserved = member.removed_members();
   v.at = now;
   return v;
--- a/src/membership/views.h
+++ b/src/membership/views.h
@@ -33,6 +33,7 @@
   // Of fleet-wide limits (fleet_limit.h): members that may hold a share, present or not, absent while that is
   // unsettled; and members removed from the fleet that may still make one call at a time.
   std::optional<std::size_t> limit_holders = 0;
+  bool limit_admitted = true;  // the others have heard of this process
   std::size_t limit_reserved = 0;
   TimePoint at{};
 };
--- a/tests/fleet_limit_test.cpp
+++ b/tests/fleet_limit_test.cpp
@@ -179,6 +179,21 @@
   EXPECT_LE(f.max_sum, 8u);
 }
 
+// The others lower their shares before a member that they have never met takes one.
+TEST(FleetLimit, ANewMemberTakesNothingUntilTheOthersKnowIt) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LimitedFleet f(5, 8, seed);
+    for (std::size_t n = 0; n < 4; ++n) f.start(n);
+    f.run_checked(seconds(10));
+    ASSERT_EQ(f.share(0), 2u);
+    if (seed % 2 == 0) f.loss(0.3);
+    f.start(4);
+    f.run_checked(seconds(20));
+    EXPECT_LE(f.max_sum, 8u) << "seed " << seed;
+    EXPECT_EQ(f.share(4), 1u) << "seed " << seed;
+  }
+}
+
 TEST(FleetLimit, ADeadMembersShareGoesToTheOthersOnceItIsRemoved) {
   LimitedFleet f(4, 12, 1);
   f.form();
