A probe of a dependency that is out stays within the share of fleet_open

While the circuit breaker is open a probe was started beside the concurrency limit: where a call of a larger share still hangs, the process has one call more open than its share.

Cause: start_probe() asked the breaker alone. Why this mend holds: where the dependency has a fleet-wide limit, a probe needs a free slot like any call; the call that holds it ends by its timeout.

Measured: ScatterGather.ProbesStayWithinTheFleetLimit, 2 of 1 without the change, passes with it.

--- a/src/deps/scatter_gather_fleet.cpp
+++ b/src/deps/scatter_gather_fleet.cpp
@@ -76,6 +76,8 @@
                                 TimePoint now) {
   if (calls_.find(key) != kNoSlot) return;
   auto& dependency = dependencies_[number];
+  // Calls of a larger share may still be open: the probe waits for them, or the fleet's limit is passed.
+  if (dependency.spec.fleet_max_in_flight > 0 && !dependency.has_free_slot()) return;
   std::optional<std::uint32_t> endpoint;
   if (view_) {
     endpoint = choose_endpoint_to_probe(dependency);
--- a/tests/scatter_gather_load_test.cpp
+++ b/tests/scatter_gather_load_test.cpp
@@ -77,6 +77,47 @@
   EXPECT_EQ(w.scatter_gather.in_flight(0), 4u);
 }
 
+// A call of a larger share is still open when the circuit breaker probes: the probe is a call like any other
+// to the dependency. Before, it was made beside the share.
+TEST(ScatterGather, ProbesStayWithinTheFleetLimit) {
+  auto spec = two_dependencies();
+  spec.gathers[0].parts.resize(1);
+  auto& dependency = spec.dependencies[0];
+  dependency.fleet_max_in_flight = 2;
+  dependency.max_attempts = 1;
+  dependency.hedge_quantile = 0;
+  dependency.probe_interval = milliseconds(10);
+  DependencySimulation w(spec, 1);
+  const auto view = [&](std::size_t others) {
+    auto v = std::make_shared<membership::View>();
+    v->peers.resize(others);
+    v->fleet_size = 1 + others;
+    w.scatter_gather.on_membership_view(v, w.now);
+  };
+  view(0);
+  bool hangs = true;
+  w.behaviour = [&](auto, auto, auto) {
+    return Reply{
+        .outcome = CallOutcome::error, .after = milliseconds(1), .never = std::exchange(hangs, false)};
+  };
+  for (std::uint64_t key = 0; key < 20; ++key) {
+    w.start_request(key);
+    w.run_for(milliseconds(2));
+  }
+  ASSERT_TRUE(w.scatter_gather.is_circuit_open(0));
+  ASSERT_EQ(w.scatter_gather.in_flight(0), 1u);  // the one that hangs
+  view(1);
+  ASSERT_EQ(w.scatter_gather.concurrency_limit(0), 1u);
+  for (std::uint64_t key = 100; key < 110; ++key) {
+    w.run_for(milliseconds(10));
+    w.start_request(key);
+    EXPECT_LE(w.scatter_gather.in_flight(0), 1u);
+  }
+  w.run_for(seconds(2));
+  w.start_request(200);
+  EXPECT_EQ(w.scatter_gather.in_flight(0), 1u);  // the hanging one is over: a probe
+}
+
 TEST(ScatterGather, CallIsShedWhenTheQueueCannotServeItInTime) {
   auto spec = two_dependencies();
   spec.dependencies[0].min_in_flight = spec.dependencies[0].max_in_flight = 2;
