A fleet of two, and halves, keep their shares of fleet_open however long a member is gone

Cause: the share has to be given up only where the others may have a majority without this member, as only they remove it and share out what it had.

Why this mend holds: LimitHolders is told whether the unheard may be a majority by themselves; in halves and in a fleet of two they can't be. Measured: FleetLimit.OneOfTwoKeepsItsHalf (new), HalvesTakeNoMoreThanBefore holds to the share after 65 s as well; fleet_limit_test passes.

--- a/src/membership/limit_holders.cpp
+++ b/src/membership/limit_holders.cpp
@@ -2,13 +2,13 @@
 
 namespace granitegap::membership {
 
-bool LimitHolders::update(TimePoint now, std::size_t members, bool has_quorum) {
+bool LimitHolders::update(TimePoint now, std::size_t members, bool in_minority) {
   const auto before = count_;
-  if (has_quorum)
-    quorum_lost_at_.reset();
-  else if (!quorum_lost_at_)
-    quorum_lost_at_ = now;
-  const bool is_cut_off = quorum_lost_at_ && now - *quorum_lost_at_ >= trust_time();
+  if (!in_minority)
+    in_minority_since_.reset();
+  else if (!in_minority_since_)
+    in_minority_since_ = now;
+  const bool is_cut_off = in_minority_since_ && now - *in_minority_since_ >= trust_time();
   if (is_cut_off) {
     count_.reset();
     window_began_at_.reset();
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -154,10 +154,18 @@
 // ---- Holders of shares of fleet-wide limits ----
 
 void Member::update_limit_holders() {
-  if (limit_holders_.update(now_, members_that_may_run(), partition_detector_.has_quorum()))
+  if (limit_holders_.update(now_, members_that_may_run(), others_may_have_quorum()))
     notify(ChangeKind::limit_holders, self_.name, true);
 }
 
+// Whether those of the fleet that are not heard here may be a majority by themselves.
+bool Member::others_may_have_quorum() const {
+  const bool hears_others = local_health_.local_connectivity() == LocalConnectivity::ok;
+  const auto heard = 1 + (hears_others ? roster_.quorum_base_alive() : 0);
+  const auto unheard = fleet_size() - std::min(heard, fleet_size());
+  return 2 * unheard > fleet_size();
+}
+
 // A suspect runs until the contrary is shown. A dead member may be cut off, and is counted as long as the
 // fleet is held to be so large.
 std::size_t Member::members_that_may_run() const {
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -236,6 +236,7 @@
   void prune_roster();
   void admit_to_quorum_base();
   void update_limit_holders();
+  bool others_may_have_quorum() const;
   std::size_t members_that_may_run() const;
   std::size_t unheard_seeds() const;
   void start_period_probes();
--- a/tests/fleet_limit_test.cpp
+++ b/tests/fleet_limit_test.cpp
@@ -12,8 +12,8 @@
 using std::chrono::seconds;
 
 struct LimitHoldersTest : testing::Test {
-  bool update(Duration at, std::size_t members, bool has_quorum = true) {
-    return holders.update(TimePoint{} + at, members, has_quorum);
+  bool update(Duration at, std::size_t members, bool in_minority = false) {
+    return holders.update(TimePoint{} + at, members, in_minority);
   }
   Options options;
   LimitHolders holders{options};
@@ -47,10 +47,10 @@
 TEST_F(LimitHoldersTest, IsGivenUpBeforeTheOthersRemoveOneThatIsCutOff) {
   update(seconds(0), 4);
   update(seconds(5), 4);
-  update(seconds(10), 4, false);
-  EXPECT_FALSE(update(seconds(24), 4, false));
+  update(seconds(10), 4, true);
+  EXPECT_FALSE(update(seconds(24), 4, true));
   EXPECT_EQ(holders.count(), 4u);
-  EXPECT_TRUE(update(seconds(25), 4, false));
+  EXPECT_TRUE(update(seconds(25), 4, true));
   EXPECT_FALSE(holders.count());
   EXPECT_LT(seconds(15), options.quorum_shrink_delay);
   update(seconds(30), 4);
@@ -177,6 +177,21 @@
   for (std::size_t n = 0; n < 4; ++n) EXPECT_EQ(f.share(n), 2u);
   f.run_checked(seconds(60));
   EXPECT_LE(f.max_sum, 8u);
+  for (std::size_t n = 0; n < 4; ++n) EXPECT_EQ(f.share(n), 2u);
+}
+
+// Neither of two can remove the other: who is left keeps its half, however long.
+TEST(FleetLimit, OneOfTwoKeepsItsHalf) {
+  LimitedFleet f(2, 8, 1);
+  f.form();
+  f.run_checked(seconds(10));
+  f.kill(1);
+  f.run_checked(seconds(100));
+  EXPECT_EQ(f.share(0), 4u);
+  f.start(1);
+  f.run_checked(seconds(30));
+  EXPECT_EQ(f.share(1), 4u);
+  EXPECT_LE(f.max_sum, 8u);
 }
 
 // The others lower their shares before a member that they have never met takes one.
