The stand-in dependency closes a connection at its end, also while that is watched

Cause: the new watch for the client's close kept the connection object, and so its socket, alive. The socket is closed explicitly now.

--- a/tools/standin/dependency.cpp
+++ b/tools/standin/dependency.cpp
@@ -114,6 +114,8 @@
         timer_(socket_.get_executor()),
         endpoint_(endpoint) {}
   asio::awaitable<void> run();
+  // At once, although the watch for the client's close still refers to the connection.
+  void close() { socket_.close(error_); }
 
  private:
   asio::awaitable<bool> serve_request(std::string path);
@@ -162,7 +164,12 @@
     if (error) co_return;
     auto connection = std::make_shared<Connection>(state_, std::move(socket), int(endpoint));
     asio::co_spawn(
-        io_, [connection]() -> asio::awaitable<void> { co_await connection->run(); }, asio::detached);
+        io_,
+        [connection]() -> asio::awaitable<void> {
+          co_await connection->run();
+          connection->close();
+        },
+        asio::detached);
   }
 }
 
