--- a/bench/soak/fleet_play.cpp
+++ b/bench/soak/fleet_play.cpp
@@ -176,15 +176,9 @@
   }
   if (requests.unanswered > 0)
     violations_.push_back({Rule::request_unanswered, std::to_string(requests.unanswered) + " requests"});
-  report.figures = {{"max_open", calls.max_open},
-                    {"limit", meter_.limit()},
-                    {"times_over", calls.times_over},
-                    {"over_ms", over_ms},
-                    {"answered", requests.answered},
-                    {"served", requests.served},
-                    {"whole", requests.whole},
-                    {"unanswered", requests.unanswered},
-                    {"interrupted", requests.interrupted}};
+  report.figures = {calls.max_open, meter_.limit(),      calls.times_over,
+                    over_ms,        requests.answered,   requests.served,
+                    requests.whole, requests.unanswered, requests.interrupted};
   report.violations = violations_;
   if (!report.violations.empty()) save_logs(report);
 }
--- a/bench/soak/report.cpp
+++ b/bench/soak/report.cpp
@@ -18,19 +18,31 @@
   return "unknown";
 }
 
+nlohmann::ordered_json to_json(const PlayFigures& figures) {
+  return {{"max_open", figures.max_open},
+          {"limit", figures.limit},
+          {"times_over", figures.times_over},
+          {"over_ms", figures.over_ms},
+          {"answered", figures.answered},
+          {"served", figures.served},
+          {"whole", figures.whole},
+          {"unanswered", figures.unanswered},
+          {"interrupted", figures.interrupted}};
+}
+
 nlohmann::ordered_json to_json(const SeedReport& report) {
   nlohmann::ordered_json out{{"scenario", report.scenario}, {"seed", report.seed}, {"play", report.play}};
   out["violations"] = nlohmann::ordered_json::array();
   for (const auto& violation : report.violations)
     out["violations"].push_back({{"rule", text_of(violation.rule)}, {"detail", violation.detail}});
-  out["figures"] = report.figures;
+  out["figures"] = to_json(report.figures);
   if (!report.logs.empty()) out["logs"] = report.logs;
   return out;
 }
 
 std::string to_text(const SeedReport& report) {
   auto text = report.scenario + " seed " + std::to_string(report.seed) + ": " + report.play + ": " +
-              (report.violations.empty() ? "ok" : "FAULTY") + " " + report.figures.dump() + "\n";
+              (report.violations.empty() ? "ok" : "FAULTY") + " " + to_json(report.figures).dump() + "\n";
   for (const auto& violation : report.violations)
     text += std::string("  ") + text_of(violation.rule) + ": " + violation.detail + "\n";
   if (!report.logs.empty()) text += "  logs: " + report.logs + "\n";
--- a/bench/soak/report.h
+++ b/bench/soak/report.h
@@ -2,6 +2,7 @@
 //
 // Plain values. Threads: any, one at a time.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -27,16 +28,27 @@
   std::string detail;
 };
 
+// What was counted in one play.
+struct PlayFigures {
+  std::size_t max_open = 0, limit = 0;  // calls at the dependency
+  std::size_t times_over = 0;           // crossings of the limit
+  double over_ms = 0;                   // time over it, in all
+  std::uint64_t answered = 0, served = 0;
+  std::uint64_t whole = 0;                        // served with all parts
+  std::uint64_t unanswered = 0, interrupted = 0;  // interrupted: the member was ended meanwhile
+};
+
 // The outcome of one seed of one scenario.
 struct SeedReport {
   std::string scenario;
   std::uint64_t seed = 0;
   std::string play;  // what the seed drew, in words
   std::vector<Violation> violations;
-  nlohmann::ordered_json figures;
+  PlayFigures figures;
   std::string logs;  // folder of the processes' logs; empty where nothing was violated
 };
 
+nlohmann::ordered_json to_json(const PlayFigures& figures);
 nlohmann::ordered_json to_json(const SeedReport& report);
 // One line, or one and a line for each violation.
 std::string to_text(const SeedReport& report);
