--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <cmath>
 #include <cstdarg>
 #include <cstdint>
 #include <cstdio>
@@ -30,6 +31,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -234,7 +236,7 @@
 
 class Requests {
  public:
-  explicit Requests(std::uint64_t seed) : random(seed) {}
+  explicit Requests(std::uint64_t seed) : first_seed(seed), random(seed) {}
   TryPtr make(const std::string& cls, double work_ms, double deadline_ms, std::string key = {},
               std::string body = {}) {
     auto request = std::make_shared<Try>();
@@ -250,6 +252,7 @@
     by_rid[request->rid] = request;
     return request;
   }
+  std::uint64_t first_seed;
   std::mt19937_64 random;
   std::vector<TryPtr> all;
   std::map<std::string, TryPtr> by_rid;
@@ -815,6 +818,12 @@
   return double(verdict.lost) >= 0.003 * double(verdict.requests) && verdict.lost > 0;
 }
 
+// The seed of a play: the environment's SEED, or one of the moment.
+inline std::uint64_t seed() {
+  const char* text = std::getenv("SEED");
+  return text ? std::strtoull(text, nullptr, 10) : std::uint64_t(unix_ms());
+}
+
 inline bool trouble_wanted() {
   const char* text = std::getenv("TROUBLE");
   return !text || std::string(text) != "0";
@@ -826,13 +835,12 @@
 // it.
 struct World {
   World(const char* root_folder, const char* record_path)
-      : root(root_folder),
-        record(record_path),
-        requests(std::uint64_t(unix_ms())),
-        kernel(6, requests, record) {
+      : root(root_folder), record(record_path), requests(seed()), kernel(6, requests, record) {
     char folder[] = "/tmp/review-XXXXXX";
     if (!::mkdtemp(folder)) cannot_run("no temporary folder");
     temporary = folder;
+    record.line("seed %llu, %s", (unsigned long long)requests.first_seed,
+                trouble_wanted() ? "with the disruption" : "without the disruption");
     site.listen = free_port();
     site.kernel = kernel.port();
     site.announce = announce.port();
