--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -15,7 +15,7 @@
 
 struct RestartedServer : World {
   RestartedServer(const char* root_folder, const char* record_path) : World(root_folder, record_path) {
-    kernel.set_speed(0.6, 0.2, site.cold_ms);  // the slower kind of machine, started cold
+    kernel.set_speed(0.5, 0.2, site.cold_ms);  // the slower kind of machine, started cold
   }
   // Client proxies send what comes.
   void offer_until(double until) {
