Tell a controller that is made during a drain of the drain

Cause: the admission controller is made at the kernel's first start. Edge::on(Drain) reported the drain only to a controller that existed, and Edge::start_controller did not look back. Change: the edge keeps the drain's beginning and its limit and reports them at the controller's start; DrainStarted carries the time since the notice, so that the grace counts from the notice and not from the kernel's start.

--- a/include/granitegap/policy.h
+++ b/include/granitegap/policy.h
@@ -220,7 +220,8 @@
 };
 /// Graceful shutdown began.
 struct DrainStarted {
-  Duration time_until_stop{};
+  Duration time_until_stop{};  ///< from now until the process is stopped
+  Duration elapsed{};          ///< since the shutdown began, for a controller that is created during it
 };
 /// A timer fired. Carries the gauges that the host has.
 struct TimerFired {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -118,6 +118,11 @@
     double missing_share = 0;  // share of the agreed members that is missing
     std::mt19937_64 retry_jitter;
   };
+  // A graceful shutdown that has begun.
+  struct ActiveDrain {
+    Now began;
+    Duration time_limit;  // from its beginning until the process is stopped
+  };
   struct RetryAdvice {
     Duration retry_after{};  // 0: no Retry-After
     bool do_not_retry_elsewhere;
@@ -223,6 +228,7 @@
 
   // ---- Health and shutdown: edge_health.cpp ----
   void start_controller(bool cold, TimePoint started_at);
+  void report_drain();
   void publish_load_report();
   void fail_deep_checks();
 
@@ -263,7 +269,7 @@
   std::map<std::uint64_t, ReplyAddress> deep_checks_;
   std::uint64_t next_deep_check_tag_ = 1;
   TimePoint kernel_started_at_{};
-  std::optional<UnixTime> draining_since_;
+  std::optional<ActiveDrain> drain_;  // empty before the shutdown
   bool admission_closed_ = false;
 
   std::optional<Fleet> fleet_;                             // empty until the first membership view
--- a/src/edge/edge_health.cpp
+++ b/src/edge/edge_health.cpp
@@ -38,7 +38,7 @@
 void Edge::apply(const SetHealth& health) {
   if (lifecycle_.handing_over()) return;
   health_from_state_ = health.answer_from_state;
-  const bool is_healthy = health.healthy && !draining_since_;
+  const bool is_healthy = health.healthy && !drain_;
   if (std::exchange(controller_healthy_, is_healthy) != is_healthy) publish_load_report();
   if (recovery_) recovery_->on_health_check(controller_healthy_, now_.steady);
 }
@@ -53,7 +53,7 @@
 
 void Edge::publish_load_report() {
   if (!lifecycle_.publishes_load_reports()) return;
-  if (controller_ || draining_since_) outputs_.emplace_back(LoadReport{healthy() && !draining_since_});
+  if (controller_ || drain_) outputs_.emplace_back(LoadReport{healthy() && !drain_});
 }
 
 // ---- The kernel's start ----
@@ -79,14 +79,15 @@
   kernel_started_at_ = started_at;
   controller_.emplace(settings_.settings, seed_, kernel_started_at_);
   apply_all(controller_->start());
+  if (drain_) report_drain();
   publish_load_report();
 }
 
 // ---- Drain and shutdown ----
 
 void Edge::on(const Drain& drain) {
-  if (draining_since_) return;
-  draining_since_ = now_.unix;
+  if (drain_) return;
+  drain_ = ActiveDrain{now_, drain.time_left};
   // While handing over, health stays good: callers would apply a bad report to the successor as well, because
   // it serves at the same listening socket.
   if (!lifecycle_.handing_over()) {
@@ -94,7 +95,15 @@
     publish_load_report();
     fail_deep_checks();
   }
-  if (controller_) events_.emplace_back(DrainStarted{drain.time_left});
+  if (controller_) report_drain();
+}
+
+// Reports the drain to the controller. A controller that is created during the drain is told what remains of
+// the time limit: otherwise it would admit requests that cannot end before the process is stopped, and set
+// deadlines after that.
+void Edge::report_drain() {
+  const auto elapsed = now_.steady - drain_->began.steady;
+  events_.emplace_back(DrainStarted{std::max(drain_->time_limit - elapsed, Duration{}), elapsed});
 }
 
 // Answers the deep checks in progress now, because the kernel's result may arrive late or never.
--- a/src/edge/edge_recovery.cpp
+++ b/src/edge/edge_recovery.cpp
@@ -154,7 +154,7 @@
   if (recovery_) status.recovery_status = recovery_status();
   if (!controller_) return status;
   status.warmup_percent = percent(warmup_fraction(now));
-  const bool is_leaving = draining_since_ || lifecycle_.phase() == lifecycle::Phase::quiesced;
+  const bool is_leaving = drain_ || lifecycle_.phase() == lifecycle::Phase::quiesced;
   if (is_leaving)
     status.stage = membership::Stage::draining;
   else if (status.warmup_percent < 100)
--- a/src/edge/edge_requests.cpp
+++ b/src/edge/edge_requests.cpp
@@ -62,9 +62,9 @@
 // Uses the time at which the request is read and not its arrival stamp: a request that waited for its
 // connection was written later than its stamp.
 bool Edge::is_past_drain_grace() const {
-  if (!draining_since_ || lifecycle_.handing_over()) return false;
+  if (!drain_ || lifecycle_.handing_over()) return false;
   const auto grace = settings_.settings.drain_grace.value_or(Duration{});
-  return now_.unix > *draining_since_ + std::max(grace - kGraceMargin, Duration{});
+  return now_.unix > drain_->began.unix + std::max(grace - kGraceMargin, Duration{});
 }
 
 void Edge::on(const MalformedRequest& request) { reject(request.reply_to); }
--- a/src/policy/drain.cpp
+++ b/src/policy/drain.cpp
@@ -36,7 +36,7 @@
 
 void AdmissionController::Impl::on(const DrainStarted& drain) {
   if (drain_started) return;
-  drain_started = now;
+  drain_started = now - std::max(drain.elapsed, Duration{});
   stop_at = now + drain.time_until_stop;
   log("drain started: process stops in " + std::to_string(to_seconds(drain.time_until_stop)) +
       " s; reporting unhealthy to health checks");
--- a/tests/admission_controller_test.cpp
+++ b/tests/admission_controller_test.cpp
@@ -305,6 +305,14 @@
   host.update_until(milliseconds(1600), milliseconds(1800), 0.5);
   EXPECT_EQ(host.credit, 0);
 }
+// A controller may be created during the drain, when the kernel starts late. The grace counts from the
+// notice.
+TEST(Drain, AControllerCreatedDuringTheDrainCountsTheGraceFromItsBeginning) {
+  ControllerHarness host(settings_with_capacity());  // the drain grace is 1 s
+  host.at(milliseconds(1), {DrainStarted{seconds(6), milliseconds(600)}});
+  EXPECT_EQ(count<granitegap::Run>(host.at(milliseconds(390), {make_request(1)})), 1);
+  EXPECT_EQ(count<Reject>(host.at(milliseconds(410), {make_request(2)})), 1);
+}
 // The mean core utilization lags behind the current load, so a run limit that follows it alone would grow
 // past the point where the machine thrashes.
 TEST(RunLimit, GrowsOnlyWhileRunnableTasksAreFewerThanCores) {
--- a/tools/fleet/process_fleet.cpp
+++ b/tools/fleet/process_fleet.cpp
@@ -426,6 +426,10 @@
   on_io([&] { at(name).kernel->set_speed(speed); });
 }
 
+void ProcessFleet::hold_kernel_boot(const std::string& name, bool hold) {
+  on_io([&] { at(name).kernel->hold_boot(hold); });
+}
+
 void ProcessFleet::reboot_kernel(const std::string& name) {
   on_io([&] { at(name).kernel->reboot(); });
 }
--- a/tools/fleet/process_fleet.h
+++ b/tools/fleet/process_fleet.h
@@ -142,6 +142,9 @@
   void replay_stale_notices(const std::string& name);
   // Sets the speed of its kernel's machine.
   void set_speed(const std::string& name, standin::Kernel::Speed speed);
+  // With `hold`, its kernel is not up yet for the connections that come from now on, and leaves their OPEN
+  // unanswered. Without, the kernel is up and answers.
+  void hold_kernel_boot(const std::string& name, bool hold);
   // Reboots the kernel and its machine: cold, and nothing runs.
   void reboot_kernel(const std::string& name);
 
--- a/tools/standin/kernel.cpp
+++ b/tools/standin/kernel.cpp
@@ -47,6 +47,7 @@
     connection_ = std::move(socket);
     output_.clear();
     writing_ = false;
+    held_open_.reset();
     connected_ = true;
     co_await serve_connection();
     connected_ = false;
@@ -112,6 +113,12 @@
   for (const auto& [request_id, run] : preempted_) stale_requests_.insert(request_id);
 }
 
+void Kernel::hold_boot(bool hold) {
+  boot_held_ = hold;
+  if (hold || !held_open_) return;
+  open(*std::exchange(held_open_, std::nullopt));
+}
+
 // `last_notice`: the newest that the server has got from this kernel; 0: the server has just started.
 void Kernel::open(std::uint64_t last_notice) {
   if (last_notice == 0) begin_new_start();
@@ -148,9 +155,16 @@
   return command;
 }
 
+void Kernel::handle_open(std::uint64_t last_notice) {
+  if (boot_held_)
+    held_open_ = last_notice;
+  else
+    open(last_notice);
+}
+
 // Commands without a body.
 void Kernel::handle(const Command& command) {
-  if (command.verb == "OPEN" && !boot_held_) open(std::strtoull(command.argument.c_str(), nullptr, 10));
+  if (command.verb == "OPEN") handle_open(std::strtoull(command.argument.c_str(), nullptr, 10));
   if (command.verb == "SYSINFO")
     send("INFO " + command.argument + " " + std::to_string(core_use_) + " " +
          std::to_string(running_.size()) + " 0.1 1\r\n");
--- a/tools/standin/kernel.h
+++ b/tools/standin/kernel.h
@@ -51,8 +51,9 @@
   void set_speed(Speed speed) { speed_ = speed; }
   // Reboots the machine: its runs are lost, its cores are cold, the connection breaks.
   void reboot();
-  // Leaves OPEN unanswered, like a machine that does not come up.
-  void hold_boot(bool hold) { boot_held_ = hold; }
+  // With `hold`, leaves OPEN unanswered, like a machine that is not up yet. Without, answers the OPEN that
+  // waits.
+  void hold_boot(bool hold);
   // On new connections, sends notices that an earlier start of the server did not get, with its numbers and
   // before BOOTED.
   void replay_stale_notices() { replays_stale_notices_ = true; }
@@ -80,6 +81,7 @@
   boost::asio::awaitable<void> advance_runs();
   static Command parse(const std::string& line);
   void handle(const Command& command);
+  void handle_open(std::uint64_t last_notice);
   void open(std::uint64_t last_notice);
   void begin_new_start();
   void preempt(const std::string& request_id);
@@ -104,6 +106,7 @@
   Speed speed_;
   std::optional<Clock::time_point> booted_at_;  // absent: long ago
   bool boot_held_ = false;
+  std::optional<std::uint64_t> held_open_;  // the number in the connection's OPEN that waits for the boot
   std::map<std::string, Run> running_, preempted_;  // by request id
   RunCounts run_counts_;
   double core_use_ = 0;  // a moving mean
