Show a member that leaves before its kernel is up as draining

Cause: Edge::member_status returned before it looked at the drain where there was no admission controller yet. Change: the stage comes from the drain and the lifecycle first (Edge::member_stage). Measured: LateKernel.TheStageIsDrainingOnceTheProcessLeaves and LateKernelProcess.AMemberThatLeavesBeforeItsKernelStarts... failed before and pass now.

--- a/src/edge/edge_recovery.cpp
+++ b/src/edge/edge_recovery.cpp
@@ -152,18 +152,19 @@
   if (scatter_gather_) status.endpoint_health = scatter_gather_->endpoint_health(now);
   if (advertised_credit_) status.load_percent = load_percent(*advertised_credit_);
   if (recovery_) status.recovery_status = recovery_status();
-  if (!controller_) return status;
-  status.warmup_percent = percent(warmup_fraction(now));
-  const bool is_leaving = drain_ || lifecycle_.phase() == lifecycle::Phase::quiesced;
-  if (is_leaving)
-    status.stage = membership::Stage::draining;
-  else if (status.warmup_percent < 100)
-    status.stage = membership::Stage::warming_up;
-  else
-    status.stage = membership::Stage::serving;
+  if (controller_) status.warmup_percent = percent(warmup_fraction(now));
+  status.stage = member_stage(status.warmup_percent);
   return status;
 }
 
+// A process that leaves is draining even if its kernel has not started.
+membership::Stage Edge::member_stage(std::uint8_t warmup_percent) const {
+  const bool is_leaving = drain_ || lifecycle_.phase() == lifecycle::Phase::quiesced;
+  if (is_leaving) return membership::Stage::draining;
+  if (!controller_) return membership::Stage::starting;
+  return warmup_percent < 100 ? membership::Stage::warming_up : membership::Stage::serving;
+}
+
 membership::RecoveryStatus Edge::recovery_status() const {
   membership::RecoveryStatus status;
   status.phase = recovery::to_metadata_value(recovery_->phase());
--- a/tests/edge_late_kernel_test.cpp
+++ b/tests/edge_late_kernel_test.cpp
@@ -242,7 +242,7 @@
   EXPECT_LT(host.response_to(1)->at, kStopLimit);
 }
 
-// ---- Health and load reports before the kernel is up ----
+// ---- Health, load reports and the stage before the kernel is up ----
 
 TEST(LateKernel, HealthChecksDuringTheDrainAreAnsweredUnhealthyAtOnce) {
   SimulatedEdge host;
@@ -280,6 +280,20 @@
   EXPECT_TRUE(resumed[0].accepting);
 }
 
+// Guards against a leaving member that its fleet takes for one that is about to serve.
+TEST(LateKernel, TheStageIsDrainingOnceTheProcessLeaves) {
+  SimulatedEdge draining;
+  EXPECT_EQ(draining.edge.member_status(SimulatedEdge::time(milliseconds(0))).stage,
+            membership::Stage::starting);
+  draining.step(milliseconds(0), {Drain{kStopLimit}});
+  EXPECT_EQ(draining.edge.member_status(SimulatedEdge::time(milliseconds(10))).stage,
+            membership::Stage::draining);
+  SimulatedEdge quiesced;
+  ASSERT_TRUE(quiesced.edge.lifecycle().quiesce());
+  EXPECT_EQ(quiesced.edge.member_status(SimulatedEdge::time(milliseconds(0))).stage,
+            membership::Stage::draining);
+}
+
 // ---- Recovery limits ----
 
 TEST(LateKernel, TheLimitsOfARecoveryReachAControllerCreatedLater) {
--- a/tests/late_kernel_process_test.cpp
+++ b/tests/late_kernel_process_test.cpp
@@ -111,5 +111,26 @@
   EXPECT_EQ(client.check_health(), true);
 }
 
+// The operators' page says that a member without a kernel is `starting`, and one that leaves is `draining`.
+TEST(LateKernelProcess, AMemberThatLeavesBeforeItsKernelStartsIsShownAsDraining) {
+  auto options = platform_options();
+  options.with_operator_file = true;
+  options.with_membership = true;
+  options.membership_fields = "period: 200ms";
+  LateKernelProcesses server(options);
+  server.start_without_kernel();
+  const auto is_shown_as = [&](membership::Stage stage) {
+    const auto view = server.view(kServer);
+    return view && view->stage == stage;
+  };
+  EXPECT_TRUE(server.wait_until([&] { return is_shown_as(membership::Stage::starting); }, kConditionTimeout));
+  server.terminate_and_wait(kServer);
+  EXPECT_TRUE(server.wait_until(
+      [&] { return server.has_exited(kServer) || is_shown_as(membership::Stage::draining); },
+      kConditionTimeout));
+  EXPECT_FALSE(server.has_exited(kServer)) << "it was never shown as draining";
+  server.expect_graceful_shutdown(kServer);
+}
+
 }  // namespace
 }  // namespace granitegap::fleet
