Keep a SIGHUP that comes before its handler is installed

Operators saw (no run of a deployment; found by looking for the same cause elsewhere): a SIGHUP between the reading of the configuration and the installation of its handler was lost, and the process kept the old addresses. Cause: serve() ignored SIGHUP until the handler stood, so that its default would not end the process. Change: SIGHUP is blocked before the configuration is read, and unblocked once the signal set exists (posix/signal_mask.h). Measured: EarlyReload.ASignalWhileTheConfigurationIsReadReloadsIt failed before ("the process did not read its configuration again") and passes now; the configuration is a pipe that holds the process at the point in question.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 
 #include "membership_udp/status_client.h"
 #include "net/inherited_socket.h"
+#include "posix/signal_mask.h"
 #include "server/server.h"
 #include "snapshot/snapshot_files.h"
 #include "snapshot/snapshot_json.h"
@@ -129,7 +130,9 @@
   return server_options;
 }
 
-// Runs a server until its graceful shutdown after SIGTERM or SIGINT. Throws if an address cannot be used.
+// Runs a server until its graceful shutdown after SIGTERM or SIGINT. SIGHUP must be blocked at the
+// call: one that has arrived since the configuration was read reloads it. Throws if an address cannot be
+// used.
 void run_server(const char* config_path, config::Config config, const std::string& operator_file,
                 Server::Options server_options) {
   boost::asio::io_context context(1);
@@ -137,6 +140,7 @@
   // backlog.
   boost::asio::signal_set stop_signals(context, SIGTERM, SIGINT);
   boost::asio::signal_set reload_signal(context, SIGHUP);
+  posix::unblock_signal(SIGHUP);  // kept by the signal set until async_wait() below
   Server server(context, std::move(config), std::move(server_options));
   stop_signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) server.drain();
@@ -158,7 +162,9 @@
 // Runs the server as the environment and `options` configure it; returns the exit status.
 int serve(const Options& options) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until its handler is installed: by default it ends the process
+  // Until its handler is installed: by default it ends the process, and ignored it would be lost although the
+  // configuration has been read already.
+  posix::block_signal(SIGHUP);
   const char* path = std::getenv("EDGE_CONFIG");
   if (!path) return report_error("EDGE_CONFIG is not set");
   auto loaded = config::load(path);
