One temporary directory, one warm-up default, log lines of shutdown in one place

tests/temporary_directory.h repeated tools/standin's; kDefaultWarmUp stood in two files of the edge; three process tests had the same log lines. No behaviour changes; the tests of edge, operation, stored data, server and recovery pass.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -225,6 +225,7 @@
   void log_recovery();
   membership::RecoveryStatus recovery_status() const;
   double warmup_fraction(TimePoint now) const;
+  Duration warm_up_time() const;
   membership::Stage member_stage(std::uint8_t warmup_percent) const;
 
   // ---- Health and shutdown: edge_health.cpp ----
--- a/src/edge/edge_health.cpp
+++ b/src/edge/edge_health.cpp
@@ -12,7 +12,6 @@
 constexpr Duration kMaxKernelUptime = std::chrono::hours(24);
 // Maximum difference between the start times that two reports of one kernel start give.
 constexpr Duration kSameStartTolerance = std::chrono::seconds(2);
-constexpr Duration kDefaultWarmUp = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -65,8 +64,7 @@
   const bool is_restart =
       controller_ && started.cold && started_at > kernel_started_at_ + kSameStartTolerance;
   if (recovery_ && (!controller_ || is_restart)) {
-    const auto warm_up = settings_.settings.warm_up.value_or(kDefaultWarmUp);
-    recovery_->on_kernel_ready(started.cold, started_at + warm_up - now_.steady, now_.steady);
+    recovery_->on_kernel_ready(started.cold, started_at + warm_up_time() - now_.steady, now_.steady);
     recovery_->on_health_check(controller_healthy_, now_.steady);
   }
   if (is_restart) kernel_started_at_ = started_at;
--- a/src/edge/edge_recovery.cpp
+++ b/src/edge/edge_recovery.cpp
@@ -178,8 +178,10 @@
 // Returns the progress of the cores' warm-up: 0 at the kernel's cold start, 1 or more when it is over.
 double Edge::warmup_fraction(TimePoint now) const {
   if (!settings_.settings.cold.value_or(true)) return 1;
-  const auto warm_up = settings_.settings.warm_up.value_or(kDefaultWarmUp);
-  return double((now - kernel_started_at_).count()) / std::max(double(warm_up.count()), 1.0);
+  return double((now - kernel_started_at_).count()) / std::max(double(warm_up_time().count()), 1.0);
 }
 
+// Returns the maximum time from a cold start of the kernel to the cores' full speed.
+Duration Edge::warm_up_time() const { return settings_.settings.warm_up.value_or(kDefaultWarmUp); }
+
 }  // namespace granitegap::edge
--- a/tests/hot_restart_process_test.cpp
+++ b/tests/hot_restart_process_test.cpp
@@ -12,8 +12,6 @@
 using namespace std::chrono_literals;
 using standin::Client;
 
-constexpr char kHandoverMessage[] = "handing over to another process on the same socket";
-
 int total_run_count(const ServerProcesses& servers, const std::string& successor, const std::string& key) {
   return servers.run_count(kServer, key) + servers.run_count(successor, key);
 }
--- a/tests/key_lease_table_test.cpp
+++ b/tests/key_lease_table_test.cpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "hot_restart/shared_lease_table.h"
-#include "temporary_directory.h"
+#include "standin/temporary_directory.h"
 
 namespace granitegap::hot_restart {
 namespace {
@@ -146,7 +146,7 @@
 
 // ---- The file ----
 
-struct TableDirectory : TemporaryDirectory {
+struct TableDirectory : standin::TemporaryDirectory {
   std::variant<SharedLeaseTable, LeaseTableError> open(std::uint64_t boot_id) const {
     return SharedLeaseTable::open(path().string(), kServerName, boot_id, kLease, at(0s));
   }
--- a/tests/late_kernel_process_test.cpp
+++ b/tests/late_kernel_process_test.cpp
@@ -11,8 +11,6 @@
 using namespace std::chrono_literals;
 using standin::Client;
 
-constexpr char kShutdownMessage[] = "shutdown requested";
-constexpr char kHandoverMessage[] = "handing over to another process on the same socket";
 constexpr char kKernelUpMessage[] = "connected to the kernel";
 constexpr auto kEndlessRun = 600s;  // no run ends before the process is stopped
 
--- a/tests/server_process.h
+++ b/tests/server_process.h
@@ -18,6 +18,9 @@
 inline constexpr char kServer[] = "n0";                       // the name of the first process
 inline constexpr char kKey[] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 inline constexpr char kOtherKey[] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30212";
+// What a process logs when it is told to stop, and when it hands over at that.
+inline constexpr char kShutdownMessage[] = "shutdown requested";
+inline constexpr char kHandoverMessage[] = "handing over to another process on the same socket";
 inline const standin::Request kTile{"tile", "x", {}, {}, 20};
 
 // Returns a request with an idempotency key and an estimated core time of `est_ms`.
--- a/tests/shutdown_race_test.cpp
+++ b/tests/shutdown_race_test.cpp
@@ -15,8 +15,6 @@
 using boost::asio::ip::udp;
 using standin::Client;
 
-constexpr char kShutdownMessage[] = "shutdown requested";
-
 TEST(ShutdownRace, ARequestOnAConnectionAcceptedBeforeTheSignalIsAnswered) {
   ServerProcesses server(platform_options());
   server.start_serving();
--- a/tests/stored_data_test.cpp
+++ b/tests/stored_data_test.cpp
@@ -11,8 +11,8 @@
 #include "snapshot/shutdown_record.h"
 #include "snapshot/snapshot_files.h"
 #include "snapshot/snapshot_json.h"
+#include "standin/temporary_directory.h"
 #include "state_transfer/codec.h"
-#include "temporary_directory.h"
 
 namespace granitegap {
 namespace {
@@ -91,7 +91,7 @@
 
 TEST(StoredSnapshot, IsFoundUnderEitherFileName) {
   for (const auto* name : {"learned-a", "learned-b"}) {
-    const TemporaryDirectory directory;
+    const standin::TemporaryDirectory directory;
     std::filesystem::copy_file(fixture("snapshot.bin"), directory.path() / name);
     const auto newest = snapshot::read_newest_snapshot(directory.path());
     EXPECT_TRUE(newest.errors.empty()) << name;
@@ -101,7 +101,7 @@
 }
 
 TEST(StoredSnapshot, IsWrittenWithTheSameBytes) {
-  const TemporaryDirectory directory;
+  const standin::TemporaryDirectory directory;
   const auto bytes = snapshot::encode(snapshot::Snapshot{snapshot_time(), stored_state()});
   EXPECT_EQ(bytes, file_bytes(fixture("snapshot.bin")));
   ASSERT_FALSE(snapshot::write_snapshot(directory.path(), bytes));
@@ -118,7 +118,7 @@
 // ---- Shutdown record ----
 
 TEST(StoredShutdownRecord, IsReadWithEveryValue) {
-  const TemporaryDirectory directory;
+  const standin::TemporaryDirectory directory;
   std::filesystem::copy_file(fixture("shutdown_record.bin"), directory.path() / "ended");
   const auto read = snapshot::read_shutdown_record(directory.path());
   ASSERT_TRUE(std::holds_alternative<std::optional<snapshot::ShutdownRecord>>(read))
@@ -130,7 +130,7 @@
 }
 
 TEST(StoredShutdownRecord, IsWrittenWithTheSameBytes) {
-  const TemporaryDirectory directory;
+  const standin::TemporaryDirectory directory;
   ASSERT_FALSE(snapshot::write_shutdown_record(directory.path(), {kName, shutdown_time()}));
   EXPECT_EQ(file_bytes(directory.path() / "ended"), file_bytes(fixture("shutdown_record.bin")));
 }
@@ -227,7 +227,7 @@
                                                                     Duration now) const {
     return SharedLeaseTable::open(directory.path().string(), kName, boot_id, kLongLease, time_at(now));
   }
-  TemporaryDirectory directory;
+  standin::TemporaryDirectory directory;
 };
 
 TEST(StoredLeaseTable, HeaderMatchesTheStructLayout) {
@@ -314,7 +314,7 @@
 
 // Repeats the operations that produced lease_table.hex.
 TEST(StoredLeaseTable, IsWrittenWithTheSameBytes) {
-  const TemporaryDirectory directory;
+  const standin::TemporaryDirectory directory;
   const auto open = [&](std::uint64_t boot_id, Duration now) {
     return SharedLeaseTable::open(directory.path().string(), kName, boot_id, kLongLease, time_at(now));
   };
@@ -341,7 +341,7 @@
 }
 
 TEST(StoredLeaseTable, QuarantinedTableIsWrittenWithTheSameBytes) {
-  const TemporaryDirectory directory;
+  const standin::TemporaryDirectory directory;
   const auto path = directory.path() / "granitegap-tile-7.claims";
   std::ofstream(path) << "no table";
   const auto opened =
--- a/tools/standin/temporary_directory.h
+++ b/tools/standin/temporary_directory.h
@@ -11,7 +11,7 @@
 class TemporaryDirectory {
  public:
   // `prefix`: of its name. Throws std::runtime_error if it can't be created.
-  explicit TemporaryDirectory(const std::string& prefix) {
+  explicit TemporaryDirectory(const std::string& prefix = "granitegap_test_") {
     auto pattern = (std::filesystem::temp_directory_path() / (prefix + "XXXXXX")).string();
     if (!::mkdtemp(pattern.data())) throw std::runtime_error("can't create a directory " + pattern);
     path_ = pattern;
