--- a/review/standins-2/peer.cpp
+++ b/review/standins-2/peer.cpp
@@ -2,7 +2,7 @@
 // sends one request. They follow the protocol page and behave soundly where it is silent. POSIX sockets only,
 // so that nothing but a compiler is needed; every address is 127.0.0.1.
 //
-//   peer kernel  --port-file F --record R --life NAME [--run-ms N]
+//   peer kernel  --port-file F --record R --life NAME [--run-ms N] [--port P --cold 1]
 //   peer sink    --port-file F
 //   peer parts   --answer FILE
 //   peer request --port P --record R --class C --token T --body B --note TEXT [--wait-ms N]
@@ -50,10 +50,12 @@
   return address;
 }
 
-// Binds to a free port and writes its number to the file, completely or not at all.
-int bind_free_port(int type, const std::string& port_file) {
+// Binds to the port, to a free one if it is 0, and writes its number to the file, completely or not at all.
+int bind_port(int type, int port, const std::string& port_file) {
   const int fd = ::socket(AF_INET, type, 0);
-  auto address = loopback(0);
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  auto address = loopback(port);
   if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) std::exit(2);
   if (type == SOCK_STREAM && ::listen(fd, 64) != 0) std::exit(2);
   socklen_t size = sizeof address;
@@ -90,14 +92,17 @@
 
 // One kernel, started with one life of a tile server and ended with it. It starts every run at once and ends
 // it after
-// --run-ms. Notices are kept and sent again on a new link.
+// --run-ms. Notices are kept and sent again on a new link. With --cold it has just been started, cold, beside
+// a tile server that goes on: it knows nothing of earlier runs and numbers its notices on from the last one
+// that was read.
 class Kernel {
  public:
   explicit Kernel(const Options& options)
       : options_(options), run_ms_(std::stoll(options.count("run-ms") ? options.at("run-ms") : "50")) {}
 
   [[noreturn]] void serve() {
-    const int listener = bind_free_port(SOCK_STREAM, options_.at("port-file"));
+    const int listener = bind_port(SOCK_STREAM, options_.count("port") ? std::stoi(options_.at("port")) : 0,
+                                   options_.at("port-file"));
     for (;;) {
       pollfd fds[2] = {{listener, POLLIN, 0}, {link_, POLLIN, 0}};
       ::poll(fds, link_ < 0 ? 1 : 2, wait_ms());
@@ -161,7 +166,10 @@
   }
 
   void open(std::uint64_t last_read) {
-    send_all(link_, "BOOTED WARM 60000\r\n");
+    const bool cold = options_.count("cold") != 0;
+    next_notice_ = std::max(next_notice_, last_read + 1);
+    send_all(link_,
+             cold ? "BOOTED COLD " + std::to_string(unix_ms() - started_) + "\r\n" : "BOOTED WARM 60000\r\n");
     for (const auto& [number, notice] : notices_)
       if (number > last_read) send_all(link_, notice);
   }
@@ -188,6 +196,7 @@
 
   Options options_;
   std::int64_t run_ms_;
+  std::int64_t started_ = unix_ms();
   int link_ = -1;
   std::string input_;
   std::vector<Run> runs_;
@@ -199,7 +208,7 @@
 // ---- The sink ----
 
 [[noreturn]] void sink(const Options& options) {
-  const int fd = bind_free_port(SOCK_DGRAM, options.at("port-file"));
+  const int fd = bind_port(SOCK_DGRAM, 0, options.at("port-file"));
   char chunk[512];
   for (;;) (void)::recv(fd, chunk, sizeof chunk, 0);
 }
@@ -208,7 +217,7 @@
 
 // Answers GET requests on keep-alive connections, with `PATH UNIX_MS` as the body.
 [[noreturn]] void dependency(const Options& options) {
-  const int listener = bind_free_port(SOCK_STREAM, options.at("port-file"));
+  const int listener = bind_port(SOCK_STREAM, 0, options.at("port-file"));
   std::map<int, std::string> inputs;
   for (;;) {
     std::vector<pollfd> fds = {{listener, POLLIN, 0}};
