--- a/review/standins-2/peer.cpp
+++ b/review/standins-2/peer.cpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -260,10 +261,10 @@
   return value;
 }
 
-std::string request_frame(const Options& options, const std::string& rid) {
+std::string request_frame(const Options& options, const std::string& rid, std::int64_t t0) {
   std::vector<std::pair<std::string, std::string>> fields = {{"method", options.at("class")},
                                                              {"rid", rid},
-                                                             {"t0", std::to_string(unix_ms())},
+                                                             {"t0", std::to_string(t0)},
                                                              {"peer", "1"},
                                                              {"acct", "turistaterkep"},
                                                              {"est", "50.00"},
@@ -321,21 +322,30 @@
   std::fclose(file);
 }
 
-int request(const Options& options) {
+std::string new_rid() {
   std::random_device random;
   char rid[17];
   std::snprintf(rid, sizeof rid, "%08x%08x", unsigned(random()), unsigned(random()));
+  return rid;
+}
+
+std::string outcome_of(const std::string& answer) {
+  const char* const names[] = {"served", "refused", "failed"};
+  return !answer.empty() && answer[0] >= 0 && answer[0] <= 2 ? names[int(answer[0])] : "unanswered";
+}
+
+int request(const Options& options) {
+  const auto rid = new_rid();
   const std::string about = options.at("note") + " rid=" + rid;
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   auto address = loopback(std::stoi(options.at("port")));
   std::string outcome = "unanswered";
   if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
     const auto wait_ms = options.count("wait-ms") ? std::stoll(options.at("wait-ms")) : 4000;
-    send_all(fd, request_frame(options, rid));
+    send_all(fd, request_frame(options, rid, unix_ms()));
     record(options, "sent " + about + " class=" + options.at("class") + " token=" + options.at("token"));
     const auto answer = read_answer(fd, unix_ms() + wait_ms);
-    const char* const names[] = {"served", "refused", "failed"};
-    if (!answer.empty() && answer[0] >= 0 && answer[0] <= 2) outcome = names[int(answer[0])];
+    outcome = outcome_of(answer);
     if (options.count("answer") != 0) write_body(options.at("answer"), answer);
   } else {
     outcome = "unconnected";
@@ -345,6 +355,58 @@
   return 0;
 }
 
+// ---- Repeats ----
+
+void sleep_until(std::int64_t at) {
+  const auto left = at - unix_ms();
+  if (left > 0) std::this_thread::sleep_for(std::chrono::milliseconds(left));
+}
+
+// Sends one try on a connection of its own and returns the connection. Its t0 is the time of its writing.
+int send_try(Options options, const std::string& token, const std::string& about) {
+  options["token"] = token;
+  options["body"] = "report " + token;
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  auto address = loopback(std::stoi(options.at("port")));
+  if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) std::exit(2);
+  const auto rid = new_rid();
+  const auto t0 = unix_ms();
+  send_all(fd, request_frame(options, rid, t0));
+  record(options, "sent " + about + " rid=" + rid + " t0=" + std::to_string(t0) + " token=" + token);
+  return fd;
+}
+
+int repeats(const Options& options) {
+  const int count = std::stoi(options.at("count"));
+  const auto window = std::stoll(options.at("window-ms")) - std::stoll(options.at("before-ms"));
+  std::vector<std::string> tokens;
+  std::vector<std::int64_t> first_tries;
+  std::vector<int> connections;
+  const auto began = unix_ms();
+  for (int i = 0; i < count; ++i) {
+    sleep_until(began + i * std::stoll(options.at("spacing-ms")));
+    tokens.push_back(new_rid() + new_rid());
+    first_tries.push_back(unix_ms());
+    connections.push_back(send_try(options, tokens.back(), "first " + std::to_string(i)));
+  }
+  std::FILE* file = std::fopen(options.at("began").c_str(), "w");
+  if (!file) return 2;
+  std::fprintf(file, "%lld\n", static_cast<long long>(began));
+  std::fclose(file);
+  for (int i = 0; i < count; ++i)
+    record(options, "answered first " + std::to_string(i) + " " +
+                        outcome_of(read_answer(connections[std::size_t(i)], began + 4000)));
+  for (int i = 0; i < count; ++i) {
+    sleep_until(first_tries[std::size_t(i)] + window);
+    connections[std::size_t(i)] = send_try(options, tokens[std::size_t(i)], "repeat " + std::to_string(i));
+  }
+  const auto until = unix_ms() + 8000;
+  for (int i = 0; i < count; ++i)
+    record(options, "answered repeat " + std::to_string(i) + " " +
+                        outcome_of(read_answer(connections[std::size_t(i)], until)));
+  return 0;
+}
+
 // ---- Partial answers ----
 
 // Reads one varint of a protobuf message.
@@ -403,5 +465,6 @@
   if (what == "dependency") dependency(options);
   if (what == "parts") return print_parts(options);
   if (what == "request") return request(options);
+  if (what == "repeats") return repeats(options);
   return 2;
 }
