--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -1,6 +1,5 @@
-# Functions that the scripts of review/6 to review/10 share. A script sets `case_folder` and sources this file from the
-# top of the repository. The record of the case is $record; all else lies in $work and is removed at the end.
-record=$case_folder/record.txt
+# Functions that the scripts of review/6 to review/10 share. A script sets `record`, the path of its record.txt, and
+# sources this file from the top of the repository. All else lies in $work and is removed at the end.
 peer=build-review-2/peer
 work=$(mktemp -d)
 pids=
